--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -13,7 +13,7 @@
 use http_types::Method;
 
 use crate::client::{Api, CallError};
-use crate::{exit, print, serve};
+use crate::{exit, host, print, serve};
 
 /// The whole command line.
 pub fn command() -> Command {
@@ -26,6 +26,7 @@
                 .about("Run an entry host")
                 .args(settings::args()),
         )
+        .subcommand(host::command())
         .subcommand(submit_command())
         .subcommand(request_command(
             "status",
@@ -187,6 +188,7 @@
 pub fn run(matches: &ArgMatches) -> exit::Code {
     let (name, matches) = match matches.subcommand() {
         Some(("serve", matches)) => return serve::run(matches),
+        Some(("host", matches)) => return host::run(matches),
         Some(named) => named,
         None => return exit::Code::Usage,
     };
--- /dev/null
+++ b/cli/src/host.rs
@@ -0,0 +1,222 @@
+//! `camphorbeam host`: runs an entry host on the users' platform until SIGTERM or SIGINT.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use async_std::net::TcpListener;
+use async_std::task;
+use camphorbeam_clock as clock;
+use camphorbeam_host::{run, settings};
+use camphorbeam_http::{client, meter, server};
+use camphorbeam_site::{calls, orders, settings as site_settings, site, store};
+use camphorbeam_telemetry::logs;
+use clap::{Arg, ArgMatches, Command};
+use http_types::{Response, StatusCode};
+
+use crate::exit;
+
+/// Time between two looks at whether a signal has come.
+const SIGNAL_POLL: Duration = Duration::from_millis(100);
+
+/// Time between the end of readiness and the end of the process in which callers are still served.
+/// The platform looks each second and takes a host out after two misses.
+const SERVE_ON: Duration = Duration::from_millis(2_800);
+
+/// Part of the time before the kill that is left unused, as a margin.
+const KILL_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// Largest body that is read at all. The operators' limit is checked after it.
+const BODY_MAX_BYTES: u64 = 1_024 * 1_024;
+
+/// Threads of each runtime: the hosts have one core or less.
+const THREADS: &str = "1";
+
+/// The command line of `camphorbeam host`.
+pub fn command() -> Command {
+    Command::new("host")
+        .about("Run an entry host on the users' platform")
+        .arg(
+            Arg::new("settings-file")
+                .long("settings-file")
+                .env(site_settings::PATH_VARIABLE)
+                .required(true)
+                .help("Settings file that the platform places on the host"),
+        )
+        .arg(
+            Arg::new("log-level")
+                .long("log-level")
+                .env("CAMPHORBEAM_LOG_LEVEL")
+                .default_value(logs::LEVEL_DEFAULT)
+                .help("Least severe level of logs: info, warn, error, debug or off"),
+        )
+}
+
+/// Runs an entry host.
+pub fn run(matches: &ArgMatches) -> exit::Code {
+    let text = |flag: &str| matches.get_one::<String>(flag).map_or("", String::as_str);
+    let path = PathBuf::from(text("settings-file"));
+    let prepared = logs::parse_level(text("log-level"))
+        .and_then(logs::start_nonblocking)
+        .and_then(|()| site_settings::read(&path));
+    let settings = match prepared {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("camphorbeam host: {error:#}");
+            return exit::Code::Usage;
+        }
+    };
+    // Both runtimes read their size once, when the first task starts.
+    std::env::set_var("ASYNC_STD_THREAD_COUNT", THREADS);
+    std::env::set_var("TOKIO_WORKER_THREADS", THREADS);
+    match task::block_on(serve(settings, &path)) {
+        Ok(()) => exit::Code::Success,
+        Err(error) => {
+            eprintln!("camphorbeam host: {error:#}");
+            exit::Code::Usage
+        }
+    }
+}
+
+/// Flags that signals set.
+struct Signals {
+    stop: Arc<AtomicBool>,
+    reload: Arc<AtomicBool>,
+}
+
+impl Signals {
+    fn register() -> anyhow::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let reload = Arc::new(AtomicBool::new(false));
+        for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+            signal_hook::flag::register(signal, Arc::clone(&stop))?;
+        }
+        signal_hook::flag::register(signal_hook::consts::SIGHUP, Arc::clone(&reload))?;
+        Ok(Self { stop, reload })
+    }
+}
+
+async fn serve(settings: settings::Settings, path: &Path) -> anyhow::Result<()> {
+    let signals = Signals::register()?;
+    let clock = clock::Clock::system();
+    let meter = Arc::new(meter::Meter::default());
+    let client = Arc::new(client::HttpClient::new(clock.clone(), Arc::clone(&meter)));
+    let platform = run::Platform {
+        store: Arc::new(store::PlatformStore::new(
+            Arc::clone(&client),
+            settings.store_address,
+        )),
+        servers: Arc::new(orders::Workers::new(client)),
+        site: Arc::new(site::PlatformSite),
+    };
+    let host = Arc::new(run::Host::start(settings.clone(), platform, clock.clone()).await?);
+    let open_calls = Arc::new(AtomicUsize::new(0));
+    let bind = |address| async move {
+        let listener = TcpListener::bind(address).await;
+        listener.with_context(|| format!("address {address} can't be bound"))
+    };
+    let ready_listener = bind(settings.ready_address).await?;
+    let caller_listener = bind(settings.caller_address).await?;
+    let limits = server::Limits {
+        body_max_bytes: BODY_MAX_BYTES,
+        ..server::Limits::default()
+    };
+    task::spawn(server::serve(
+        ready_listener,
+        clock.clone(),
+        limits,
+        Arc::clone(&meter),
+        readiness(Arc::clone(&host)),
+    ));
+    task::spawn(server::serve(
+        caller_listener,
+        clock.clone(),
+        limits,
+        meter,
+        callers(Arc::clone(&host), Arc::clone(&open_calls)),
+    ));
+    spdlog::info!("entry host started", kv: {
+        host = settings.host.as_str(), zone = settings.zone.as_str()
+    });
+    while !signals.stop.load(Ordering::Relaxed) {
+        clock.sleep(SIGNAL_POLL).await;
+        if signals.reload.swap(false, Ordering::Relaxed) {
+            reload(&settings, path);
+        }
+    }
+    leave(&host, &open_calls, &settings, &clock).await;
+    Ok(())
+}
+
+type Answer = std::pin::Pin<Box<dyn std::future::Future<Output = Response> + Send>>;
+
+fn readiness(
+    host: Arc<run::Host>,
+) -> impl Fn(server::WholeRequest) -> Answer + Clone + Send + Sync + 'static {
+    move |_request| {
+        let status = match host.is_ready() {
+            true => StatusCode::Ok,
+            false => StatusCode::ServiceUnavailable,
+        };
+        Box::pin(async move { Response::new(status) })
+    }
+}
+
+fn callers(
+    host: Arc<run::Host>,
+    open_calls: Arc<AtomicUsize>,
+) -> impl Fn(server::WholeRequest) -> Answer + Clone + Send + Sync + 'static {
+    move |request| {
+        let host = Arc::clone(&host);
+        let open_calls = Arc::clone(&open_calls);
+        open_calls.fetch_add(1, Ordering::AcqRel);
+        Box::pin(async move {
+            let reply = host.gateway.answer(calls::decode(&request)).await;
+            let mut response = calls::encode(&reply);
+            if host.is_leaving() {
+                response.insert_header("connection", "close");
+            }
+            open_calls.fetch_sub(1, Ordering::AcqRel);
+            response
+        })
+    }
+}
+
+/// Reads the settings again. Addresses are bound for the life of the process, so a change of them
+/// waits for the next start.
+fn reload(settings: &settings::Settings, path: &Path) {
+    match site_settings::read(path) {
+        Ok(newer) => {
+            let is_same = format!("{newer:?}") == format!("{settings:?}");
+            spdlog::info!("settings read again", kv: { is_same });
+        }
+        Err(error) => {
+            let reason = format!("{error:#}");
+            spdlog::error!("settings not read again", kv: { reason = reason.as_str() });
+        }
+    }
+}
+
+/// Serves callers until the platform sends none and every answer is out, within the grace time.
+async fn leave(
+    host: &run::Host,
+    open_calls: &AtomicUsize,
+    settings: &settings::Settings,
+    clock: &clock::Clock,
+) {
+    let started = clock.now();
+    host.leave();
+    spdlog::info!("entry host leaves", kv: { open_calls = open_calls.load(Ordering::Acquire) });
+    let limit = Duration::from_millis(settings.grace_ms).saturating_sub(KILL_MARGIN);
+    loop {
+        let elapsed = clock.now().since(started);
+        let is_idle = open_calls.load(Ordering::Acquire) == 0 && host.has_left();
+        if elapsed >= limit || (elapsed >= SERVE_ON && is_idle) {
+            break;
+        }
+        clock.sleep(SIGNAL_POLL).await;
+    }
+    spdlog::info!("entry host stopped", kv: { open_calls = open_calls.load(Ordering::Acquire) });
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod commands;
 mod exit;
+mod host;
 mod print;
 mod serve;
 
--- a/lib/clock/src/lib.rs
+++ b/lib/clock/src/lib.rs
@@ -8,9 +8,11 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Milliseconds on a monotonic clock, counted from an arbitrary origin of the process.
+use rustix::time::{clock_gettime, ClockId};
+
+/// Milliseconds on a monotonic clock, counted from an arbitrary origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Monotonic {
     /// Milliseconds since the origin.
@@ -56,7 +58,7 @@
 
 #[derive(Clone, Debug)]
 enum Source {
-    System { origin: Instant },
+    System,
     Manual(Arc<Mutex<ManualState>>),
 }
 
@@ -75,12 +77,11 @@
 }
 
 impl Clock {
-    /// The clock of the machine.
+    /// The clock of the machine. It goes on while the machine is suspended, so that a lease that
+    /// is counted on it does not outlive the suspension.
     pub fn system() -> Self {
         Self {
-            source: Source::System {
-                origin: Instant::now(),
-            },
+            source: Source::System,
         }
     }
 
@@ -103,7 +104,7 @@
     /// The current monotonic time.
     pub fn now(&self) -> Monotonic {
         let since_origin_ms = match &self.source {
-            Source::System { origin } => as_ms(origin.elapsed()),
+            Source::System => boot_time_ms().saturating_add(ORIGIN_MS),
             Source::Manual(state) => lock(state).now_ms,
         };
         Monotonic { since_origin_ms }
@@ -112,7 +113,7 @@
     /// The current wall-clock time, in milliseconds since the Unix epoch.
     pub fn unix_ms(&self) -> u64 {
         match &self.source {
-            Source::System { .. } => as_ms(
+            Source::System => as_ms(
                 SystemTime::now()
                     .duration_since(UNIX_EPOCH)
                     .unwrap_or_default(),
@@ -127,7 +128,7 @@
     /// Waits for `duration`.
     pub async fn sleep(&self, duration: Duration) {
         match &self.source {
-            Source::System { .. } => async_std::task::sleep(duration).await,
+            Source::System => async_std::task::sleep(duration).await,
             Source::Manual(state) => ManualSleep::new(state, duration).await,
         }
     }
@@ -174,6 +175,17 @@
     }
 }
 
+/// Distance of the system clock's origin from the start of the machine, so that instants before
+/// that start can be written.
+const ORIGIN_MS: u64 = 1_000_000_000;
+
+fn boot_time_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let millis = u64::try_from(time.tv_nsec).unwrap_or(0) / 1_000_000;
+    seconds.saturating_mul(1_000).saturating_add(millis)
+}
+
 struct ManualSleep {
     state: Arc<Mutex<ManualState>>,
     slot: (u64, u64),
--- /dev/null
+++ b/lib/host/src/follower.rs
@@ -0,0 +1,172 @@
+//! Follows the operators' terms. The version in hand only rises.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use camphorbeam_clock as clock;
+use camphorbeam_model::{id, terms};
+use camphorbeam_platform::store::{self, Store};
+
+use crate::{peers, relay, site, wakeup};
+
+/// How long one call waits for a change. A feed that has gone silent without being cut is found
+/// out within this time and the limit of the call.
+const FEED_WAIT: Duration = Duration::from_millis(700);
+
+/// Time between two plain reads, which find what a feed has missed.
+const READ_INTERVAL: Duration = Duration::from_millis(5_000);
+
+/// Wait after a failure before the next try.
+const RETRY: Duration = Duration::from_millis(150);
+
+/// The terms in hand.
+#[derive(Debug, Default)]
+pub struct Board {
+    state: Mutex<State>,
+    listeners: Mutex<Vec<wakeup::Wakeup>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    terms: Arc<terms::Terms>,
+    text: Option<Arc<str>>,
+}
+
+impl Board {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The terms in force; version zero if there are none yet.
+    pub fn terms(&self) -> Arc<terms::Terms> {
+        Arc::clone(&self.lock().terms)
+    }
+
+    /// The same as the operators wrote them.
+    pub fn text(&self) -> Option<Arc<str>> {
+        self.lock().text.clone()
+    }
+
+    /// Wakes `listener` at each new version.
+    pub fn notify(&self, listener: wakeup::Wakeup) {
+        let mut listeners = self
+            .listeners
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        listeners.push(listener);
+    }
+
+    /// Takes in terms as the operators wrote them, if they are newer.
+    pub fn offer(&self, site: &dyn site::Site, text: &str, way: &'static str) {
+        if self.lock().text.as_deref() == Some(text) {
+            return;
+        }
+        let decoded = match site.decode_terms(text) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                let reason = error.to_string();
+                spdlog::error!("terms are not understood", kv: { reason = reason.as_str() });
+                return;
+            }
+        };
+        let mut state = self.lock();
+        let before = state.terms.version;
+        if decoded.version <= before {
+            return;
+        }
+        spdlog::info!("terms in force", kv: {
+            version = decoded.version.0, before = before.0, queues = decoded.queues.len(), way
+        });
+        state.terms = Arc::new(decoded);
+        state.text = Some(Arc::from(text));
+        drop(state);
+        let listeners = self
+            .listeners
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for listener in listeners.iter() {
+            listener.wake();
+        }
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> id::TermsVersion {
+        self.lock().terms.version
+    }
+}
+
+/// What following needs.
+pub struct Follower {
+    /// Where the terms go.
+    pub board: Arc<Board>,
+    /// The store.
+    pub store: Arc<relay::RelayedStore>,
+    /// Other hosts, asked for theirs while the store is away.
+    pub peers: Arc<peers::Peers>,
+    /// Where the terms are.
+    pub site: Arc<dyn site::Site>,
+    /// The clock.
+    pub clock: clock::Clock,
+}
+
+impl Follower {
+    /// Follows the terms for ever.
+    pub async fn run(self) {
+        let mut version = 0;
+        let mut read_at: Option<clock::Monotonic> = None;
+        loop {
+            let now = self.clock.now();
+            let is_read_due = read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
+            let followed = match is_read_due {
+                true => self.read().await.inspect(|_| read_at = Some(now)),
+                false => self.follow(version).await,
+            };
+            match followed {
+                Some(newest) => version = newest.max(version),
+                None => {
+                    read_at = None;
+                    self.clock.sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    /// Reads the row; returns the store's version.
+    async fn read(&self) -> Option<u64> {
+        match store::read_row(&*self.store, &self.site.terms_row()).await {
+            Ok((row, rows)) => {
+                if let Some(text) = row.and_then(|row| row.value) {
+                    self.board.offer(&*self.site, &text, "read");
+                }
+                Some(rows.version)
+            }
+            Err(_) => {
+                self.ask_peers().await;
+                None
+            }
+        }
+    }
+
+    async fn follow(&self, version: u64) -> Option<u64> {
+        let row_key = self.site.terms_row();
+        match self.store.changes(&row_key.table, version, FEED_WAIT).await {
+            Ok(store::Changes::Rows(changes)) => {
+                let newest = changes.rows.iter().rev().find(|row| row.key == row_key);
+                if let Some(text) = newest.and_then(|row| row.value.as_deref()) {
+                    self.board.offer(&*self.site, text, "feed");
+                }
+                Some(changes.version)
+            }
+            Ok(store::Changes::HistoryGone) | Err(_) => None,
+        }
+    }
+
+    async fn ask_peers(&self) {
+        for address in self.peers.order().into_iter().take(2) {
+            if let Ok(Some(text)) = self.peers.terms(address).await {
+                self.board.offer(&*self.site, &text, "peer");
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/host/src/gateway.rs
@@ -0,0 +1,343 @@
+//! Answers callers. Any host does, out of the store alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorbeam_clock as clock;
+use camphorbeam_jobs::progress;
+use camphorbeam_model::{id, job, terms};
+use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::table::PlatformError;
+
+use crate::call::{Call, Operation, Reply};
+use crate::{follower, relay, rows};
+
+/// Time that a caller waits if it does not say.
+const DEADLINE_DEFAULT_MS: u64 = 3_000;
+
+/// Time kept back for the way of the answer to the caller.
+const ANSWER_MARGIN_MS: u64 = 250;
+
+/// Time for which a call tries to reach a store that has surely done nothing yet. Then the caller
+/// is told when to come back, rather than kept waiting.
+const REACH_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// Wait between two tries at the store.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// When a caller is told to come back while the store can't be reached.
+const STORE_RETRY_AFTER_S: u64 = 2;
+
+/// Age of the scheduler's count of waiting jobs from which the store is counted instead.
+const WAITING_MAX_AGE_MS: u64 = 2_500;
+
+/// Client account of calls to public queues that carry no known key.
+const PUBLIC_ACCOUNT: &str = "public";
+
+/// Answers callers.
+pub struct Gateway {
+    /// The terms in force.
+    pub board: Arc<follower::Board>,
+    /// The store.
+    pub store: Arc<relay::RelayedStore>,
+    /// The clock.
+    pub clock: clock::Clock,
+}
+
+/// When to give up.
+struct Budget {
+    started: clock::Monotonic,
+    limit: Duration,
+}
+
+/// A call whose queue, caller and object are known.
+struct Admitted<'a> {
+    queue: &'a terms::Queue,
+    account: id::ClientAccountName,
+    job: Option<id::JobId>,
+}
+
+fn store_away(error: &PlatformError) -> Reply {
+    Reply::NotNow {
+        reason: format!("the store can't be reached: {error}"),
+        retry_after_s: STORE_RETRY_AFTER_S,
+    }
+}
+
+impl Gateway {
+    /// Answers `call`.
+    pub async fn answer(&self, call: Call) -> Reply {
+        let terms = self.board.terms();
+        let budget = self.budget(&call);
+        if terms.version == id::TermsVersion(0) {
+            return Reply::NotNow {
+                reason: "no terms are in force at this host yet".to_owned(),
+                retry_after_s: 1,
+            };
+        }
+        let admitted = match admit(&terms, &call) {
+            Ok(admitted) => admitted,
+            Err(reply) => return reply,
+        };
+        let reply = match (&call.operation, &admitted.job) {
+            (Operation::Submit { body_bytes, .. }, _) if *body_bytes > terms.body_max_bytes => {
+                Reply::TooLarge
+            }
+            (Operation::Submit { spec, .. }, Some(job)) => match spec {
+                Ok(spec) => self.submit(&admitted, job, spec, &budget).await,
+                Err(reason) => Reply::Invalid(reason.clone()),
+            },
+            (Operation::Read, Some(job)) => self.state(&admitted, job, &budget).await,
+            (Operation::Read, None) => self.waiting(&admitted, &budget).await,
+            (Operation::Cancel, Some(job)) => self.cancel(&admitted, job, &budget).await,
+            (Operation::Submit { .. } | Operation::Cancel, None) => {
+                Reply::Invalid("the path names no job".to_owned())
+            }
+            (Operation::Unsupported(_), _) => Reply::Unsupported,
+        };
+        self.log(&call, &admitted, &reply, &budget, terms.version);
+        reply
+    }
+
+    fn budget(&self, call: &Call) -> Budget {
+        let limit_ms = call.deadline_ms.unwrap_or(DEADLINE_DEFAULT_MS);
+        Budget {
+            started: self.clock.now(),
+            limit: Duration::from_millis(limit_ms.saturating_sub(ANSWER_MARGIN_MS)),
+        }
+    }
+
+    fn elapsed(&self, budget: &Budget) -> Duration {
+        self.clock.now().since(budget.started)
+    }
+
+    fn log(
+        &self,
+        call: &Call,
+        admitted: &Admitted<'_>,
+        reply: &Reply,
+        budget: &Budget,
+        version: id::TermsVersion,
+    ) {
+        let what = match call.operation {
+            Operation::Submit { .. } => "submit",
+            Operation::Cancel => "cancel",
+            // Reads change nothing; only those that fail are of interest.
+            Operation::Read if matches!(reply, Reply::State(_) | Reply::Waiting(_)) => return,
+            Operation::Read => "read",
+            Operation::Unsupported(_) => "unsupported",
+        };
+        let job = admitted.job.as_ref().map_or("", id::JobId::as_str);
+        let took_ms = clock::as_ms(self.elapsed(budget));
+        spdlog::info!("call", kv: {
+            what, job, queue = admitted.queue.name.as_str(), account = admitted.account.as_str(),
+            outcome = reply.name(), took_ms, terms = version.0
+        });
+    }
+
+    /// Stores a job. Only what is known to be stored is accepted, and only what is known not to
+    /// be, now or later, is refused.
+    async fn submit(
+        &self,
+        admitted: &Admitted<'_>,
+        id: &id::JobId,
+        spec: &job::JobSpec,
+        budget: &Budget,
+    ) -> Reply {
+        let accepted = job::AcceptedJob {
+            account: admitted.account.clone(),
+            queue: admitted.queue.name.clone(),
+            terms: admitted.queue.job_terms.clone(),
+            accepted_unix_ms: self.clock.unix_ms(),
+            spec: spec.clone(),
+        };
+        let text = match serde_json::to_string(&accepted) {
+            Ok(text) => text,
+            Err(error) => return Reply::Invalid(format!("the job can't be stored: {error}")),
+        };
+        let transaction = store::Transaction {
+            conditions: vec![store::Condition {
+                key: rows::job(id),
+                version: 0,
+            }],
+            writes: vec![(rows::job(id), text)],
+            removals: Vec::new(),
+        };
+        let mut may_be_stored = false;
+        loop {
+            let error = match self.store.commit(&transaction).await {
+                Ok(store::Commit::Applied { .. }) => {
+                    return Reply::State(progress::JobState::Queued)
+                }
+                Ok(store::Commit::Conflict { rows }) => return repeated(admitted, &rows),
+                Err(error) => error,
+            };
+            may_be_stored |= !matches!(error, PlatformError::NotApplied { .. });
+            let elapsed = self.elapsed(budget);
+            match may_be_stored {
+                true if elapsed >= budget.limit => return Reply::Unclear(error.to_string()),
+                false if elapsed >= REACH_LIMIT.min(budget.limit) => return store_away(&error),
+                _ => self.clock.sleep(RETRY).await,
+            }
+        }
+    }
+
+    async fn state(&self, admitted: &Admitted<'_>, id: &id::JobId, budget: &Budget) -> Reply {
+        match self.read(&rows::progress(id), budget).await {
+            Ok(Some(row)) => match parse::<progress::Progress>(&row) {
+                Some(progress) => Reply::State(progress.state),
+                None => Reply::Unclear("the job's progress can't be read".to_owned()),
+            },
+            Ok(None) => match self.read(&rows::job(id), budget).await {
+                Ok(Some(row)) => match parse::<job::AcceptedJob>(&row) {
+                    Some(job) if job.account == admitted.account => {
+                        Reply::State(progress::JobState::Queued)
+                    }
+                    _ => Reply::NoSuchJob,
+                },
+                Ok(None) => Reply::NoSuchJob,
+                Err(error) => store_away(&error),
+            },
+            Err(error) => store_away(&error),
+        }
+    }
+
+    /// Cancels a job. One that is not stored is cancelled as well, in case a submission without an
+    /// answer is still under way.
+    async fn cancel(&self, admitted: &Admitted<'_>, id: &id::JobId, budget: &Budget) -> Reply {
+        let known = match self.read(&rows::job(id), budget).await {
+            Ok(row) => row.and_then(|row| parse::<job::AcceptedJob>(&row)),
+            Err(error) => return store_away(&error),
+        };
+        let is_known = match known {
+            Some(job) if job.account != admitted.account => return Reply::NoSuchJob,
+            Some(_) => true,
+            None => false,
+        };
+        let transaction = store::Transaction {
+            conditions: Vec::new(),
+            writes: vec![(rows::cancel(id), self.clock.unix_ms().to_string())],
+            removals: Vec::new(),
+        };
+        loop {
+            match self.store.commit(&transaction).await {
+                Ok(_) if is_known => return Reply::State(progress::JobState::Cancelled),
+                Ok(_) => return Reply::NoSuchJob,
+                Err(error) if self.elapsed(budget) >= budget.limit => {
+                    return Reply::Unclear(error.to_string())
+                }
+                Err(_) => self.clock.sleep(RETRY).await,
+            }
+        }
+    }
+
+    async fn waiting(&self, admitted: &Admitted<'_>, budget: &Budget) -> Reply {
+        let lease = match self.read_with_clock(&rows::lease(), budget).await {
+            Ok(lease) => lease,
+            Err(error) => return store_away(&error),
+        };
+        let counted = lease.0.and_then(|row| parse::<rows::LeaseRow>(&row));
+        match counted {
+            Some(row) if lease.1 < row.store_ms + WAITING_MAX_AGE_MS => {
+                let waiting = row.waiting.get(&admitted.queue.name);
+                Reply::Waiting(waiting.copied().unwrap_or(0))
+            }
+            // No scheduler counts just now.
+            _ => self.count_waiting(&admitted.queue.name).await,
+        }
+    }
+
+    async fn count_waiting(&self, queue: &id::QueueName) -> Reply {
+        let (jobs, begun) = (
+            self.store
+                .rows(rows::INBOX_TABLE, rows::PART, rows::JOB_PREFIX, "")
+                .await,
+            self.store
+                .rows(rows::PROGRESS_TABLE, rows::PART, "", "")
+                .await,
+        );
+        match (jobs, begun) {
+            (Ok(jobs), Ok(begun)) => {
+                let begun: std::collections::BTreeSet<String> =
+                    begun.rows.into_iter().map(|row| row.key.key).collect();
+                let is_waiting = |row: &&store::Row| {
+                    let id = row.key.key.trim_start_matches(rows::JOB_PREFIX);
+                    let job = parse::<job::AcceptedJob>(row);
+                    !begun.contains(id) && job.is_some_and(|job| &job.queue == queue)
+                };
+                Reply::Waiting(jobs.rows.iter().filter(is_waiting).count() as u64)
+            }
+            (Err(error), _) | (_, Err(error)) => store_away(&error),
+        }
+    }
+
+    async fn read(
+        &self,
+        key: &store::RowKey,
+        budget: &Budget,
+    ) -> Result<Option<store::Row>, PlatformError> {
+        self.read_with_clock(key, budget).await.map(|(row, _)| row)
+    }
+
+    async fn read_with_clock(
+        &self,
+        key: &store::RowKey,
+        budget: &Budget,
+    ) -> Result<(Option<store::Row>, u64), PlatformError> {
+        loop {
+            match store::read_row(&*self.store, key).await {
+                Ok((row, rows)) => return Ok((row, rows.store_ms)),
+                Err(error) if self.elapsed(budget) >= budget.limit => return Err(error),
+                Err(_) => self.clock.sleep(RETRY).await,
+            }
+        }
+    }
+}
+
+/// The answer to a submission whose id is taken: the same job again, or another's.
+fn repeated(admitted: &Admitted<'_>, rows: &[store::Row]) -> Reply {
+    match rows.first().and_then(parse::<job::AcceptedJob>) {
+        Some(job) if job.account == admitted.account => Reply::State(progress::JobState::Queued),
+        Some(_) => Reply::TakenId,
+        None => Reply::Unclear("the stored job can't be read".to_owned()),
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(row: &store::Row) -> Option<T> {
+    let text = row.value.as_deref()?;
+    match serde_json::from_str(text) {
+        Ok(parsed) => Some(parsed),
+        Err(error) => {
+            let reason = error.to_string();
+            spdlog::error!("row is not understood", kv: {
+                key = row.key.key.as_str(), reason = reason.as_str()
+            });
+            None
+        }
+    }
+}
+
+fn admit<'a>(terms: &'a terms::Terms, call: &Call) -> Result<Admitted<'a>, Reply> {
+    let queue = terms
+        .route(&call.host, &call.path)
+        .ok_or(Reply::NoSuchQueue)?;
+    let known = call.key.as_ref().and_then(|key| terms.keys.get(key));
+    let account = match known {
+        Some(account) => account.clone(),
+        None if queue.is_public => {
+            let public = id::ClientAccountName::new(PUBLIC_ACCOUNT);
+            public.map_err(|_| Reply::Unauthenticated)?
+        }
+        None => return Err(Reply::Unauthenticated),
+    };
+    let rest = &call.path[queue.path_prefix.len()..];
+    let job = match rest {
+        "" => None,
+        rest => Some(id::JobId::new(rest).map_err(|error| Reply::Invalid(error.to_string()))?),
+    };
+    Ok(Admitted {
+        queue,
+        account,
+        job,
+    })
+}
--- /dev/null
+++ b/lib/host/src/leadership.rs
@@ -0,0 +1,317 @@
+//! Which entry host schedules: the holder of a lease row.
+//!
+//! [`Standby`] watches the row and turns into [`Holder`] when it has written it. The epoch row
+//! changes only with the holder; every write of a scheduler has a condition on it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorbeam_clock as clock;
+use camphorbeam_model::id;
+use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::table::PlatformError;
+
+use crate::rows;
+
+/// Time between two looks at the lease, and between two renewals.
+pub const RENEWAL: Duration = Duration::from_millis(800);
+
+/// How long a lease lasts from the moment at which its newest write was seen.
+pub const LEASE: Duration = Duration::from_millis(2_600);
+
+/// How long a holder counts its lease from before it sent a renewal: less than [`LEASE`], so that
+/// its count ends first though clocks differ in speed.
+pub const HOLDER_LEASE: Duration = Duration::from_millis(2_400);
+
+/// How much longer a host with little processor time waits before it takes a free lease, for each
+/// core that it lacks, so that a strong host comes first.
+const WEAKNESS_DELAY_PER_CORE: Duration = Duration::from_millis(1_500);
+
+/// Processor time from which a host counts as strong, in cores.
+const STRONG_CORES: f64 = 0.25;
+
+/// Who we are.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// The host.
+    pub host: id::HostId,
+    /// This process.
+    pub process: Arc<str>,
+    /// Processor time that it has, in cores.
+    pub processor_share: f64,
+}
+
+impl Candidate {
+    fn delay(&self) -> Duration {
+        let lacking = (STRONG_CORES - self.processor_share).max(0.0);
+        WEAKNESS_DELAY_PER_CORE.mul_f64(lacking)
+    }
+}
+
+/// A lease row as it was seen.
+#[derive(Clone, Debug)]
+struct Seen {
+    version: u64,
+    at: clock::Monotonic,
+}
+
+/// Does not hold the lease.
+#[derive(Debug)]
+pub struct Standby {
+    candidate: Candidate,
+    clock: clock::Clock,
+    seen: Option<Seen>,
+}
+
+/// Holds the lease.
+#[derive(Debug)]
+pub struct Holder {
+    candidate: Candidate,
+    clock: clock::Clock,
+    epoch: id::Epoch,
+    epoch_version: u64,
+    lease_version: u64,
+    confirmed: clock::Monotonic,
+    store_ms: u64,
+}
+
+/// What a standby has become.
+#[derive(Debug)]
+pub enum Watched {
+    /// Another host holds the lease.
+    Standby(Standby),
+    /// We hold it.
+    Holder(Holder),
+}
+
+/// What a renewal has come to.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Renewal {
+    /// The lease is ours for a while.
+    Renewed,
+    /// The store has not answered.
+    Unconfirmed(PlatformError),
+    /// Another host has it.
+    Lost,
+}
+
+fn parse<T: serde::de::DeserializeOwned>(row: Option<&store::Row>) -> Option<T> {
+    let value = row?.value.as_deref()?;
+    match serde_json::from_str(value) {
+        Ok(parsed) => Some(parsed),
+        Err(error) => {
+            spdlog::error!("row is not understood", kv: { error = error.to_string().as_str() });
+            None
+        }
+    }
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Result<String, PlatformError> {
+    serde_json::to_string(value).map_err(|error| PlatformError::Rejected {
+        reason: format!("row can't be written: {error}"),
+    })
+}
+
+impl Standby {
+    /// A host that has seen nothing yet.
+    pub fn new(candidate: Candidate, clock: clock::Clock) -> Self {
+        Self {
+            candidate,
+            clock,
+            seen: None,
+        }
+    }
+
+    /// Looks at the lease and takes it if it is free.
+    ///
+    /// # Errors
+    ///
+    /// Returns the standby with the error of the store.
+    pub async fn look<S: Store + ?Sized>(
+        mut self,
+        store: &S,
+    ) -> Result<Watched, (Self, PlatformError)> {
+        let control = match store.rows(rows::CONTROL_TABLE, rows::PART, "", "").await {
+            Ok(control) => control,
+            Err(error) => return Err((self, error)),
+        };
+        let now = self.clock.now();
+        let find = |key: &store::RowKey| control.rows.iter().find(|row| &row.key == key);
+        let lease_row = find(&rows::lease());
+        let version = lease_row.map_or(0, |row| row.version);
+        let row: Option<rows::LeaseRow> = parse(lease_row);
+        let first_seen = match &self.seen {
+            Some(seen) if seen.version == version => seen.at,
+            _ => now,
+        };
+        let is_released = row.as_ref().is_none_or(|row| row.holder.is_none());
+        let is_our_earlier_process = row.as_ref().is_some_and(|row| {
+            row.holder.as_ref() == Some(&self.candidate.host)
+                && row.process != self.candidate.process
+        });
+        let free_after = match is_released || is_our_earlier_process {
+            true => self.candidate.delay(),
+            false => LEASE + self.candidate.delay(),
+        };
+        let is_free = now.since(first_seen) >= free_after;
+        self.seen = Some(Seen {
+            version,
+            at: first_seen,
+        });
+        match is_free {
+            true => self.take(store, &control, find(&rows::epoch())).await,
+            false => Ok(Watched::Standby(self)),
+        }
+    }
+
+    async fn take<S: Store + ?Sized>(
+        self,
+        store: &S,
+        control: &store::Rows,
+        epoch_row: Option<&store::Row>,
+    ) -> Result<Watched, (Self, PlatformError)> {
+        let known: Option<rows::EpochRow> = parse(epoch_row);
+        let epoch = known.map_or(id::Epoch(0), |known| known.epoch).next();
+        let row = lease_value(&self.candidate, epoch, control.store_ms, BTreeMap::new());
+        let epoch_value = rows::EpochRow {
+            epoch,
+            holder: self.candidate.host.clone(),
+        };
+        let (lease_text, epoch_text) = match (encode(&row), encode(&epoch_value)) {
+            (Ok(lease), Ok(epoch)) => (lease, epoch),
+            (Err(error), _) | (_, Err(error)) => return Err((self, error)),
+        };
+        let transaction = store::Transaction {
+            conditions: vec![
+                store::Condition {
+                    key: rows::lease(),
+                    version: self.seen.as_ref().map_or(0, |seen| seen.version),
+                },
+                store::Condition {
+                    key: rows::epoch(),
+                    version: epoch_row.map_or(0, |row| row.version),
+                },
+            ],
+            writes: vec![(rows::lease(), lease_text), (rows::epoch(), epoch_text)],
+            removals: Vec::new(),
+        };
+        let sent = self.clock.now();
+        match store.commit(&transaction).await {
+            Ok(store::Commit::Applied { version }) => Ok(Watched::Holder(Holder {
+                candidate: self.candidate,
+                clock: self.clock,
+                epoch,
+                epoch_version: version,
+                lease_version: version,
+                confirmed: sent,
+                store_ms: control.store_ms,
+            })),
+            Ok(store::Commit::Conflict { .. }) => Ok(Watched::Standby(self)),
+            // If it was applied, the row names us as holder in a process that is ours; it is not
+            // renewed, and lapses.
+            Err(error) => Err((self, error)),
+        }
+    }
+}
+
+fn lease_value(
+    candidate: &Candidate,
+    epoch: id::Epoch,
+    store_ms: u64,
+    waiting: BTreeMap<id::QueueName, u64>,
+) -> rows::LeaseRow {
+    rows::LeaseRow {
+        holder: Some(candidate.host.clone()),
+        process: Arc::clone(&candidate.process),
+        epoch,
+        token: Arc::from(ulid::Ulid::new().to_string()),
+        store_ms,
+        waiting,
+    }
+}
+
+impl Holder {
+    /// The epoch, sent with every order.
+    pub fn epoch(&self) -> id::Epoch {
+        self.epoch
+    }
+
+    /// The condition of every write under this lease.
+    pub fn condition(&self) -> store::Condition {
+        store::Condition {
+            key: rows::epoch(),
+            version: self.epoch_version,
+        }
+    }
+
+    /// When the newest confirmed renewal was sent.
+    pub fn confirmed(&self) -> clock::Monotonic {
+        self.confirmed
+    }
+
+    /// Renews the lease and publishes what waits.
+    pub async fn renew<S: Store + ?Sized>(
+        &mut self,
+        store: &S,
+        waiting: BTreeMap<id::QueueName, u64>,
+    ) -> Renewal {
+        let elapsed = self.clock.now().since(self.confirmed);
+        let store_ms = self.store_ms + clock::as_ms(elapsed);
+        let row = lease_value(&self.candidate, self.epoch, store_ms, waiting);
+        self.write(store, &row).await
+    }
+
+    /// Hands the lease back, so that another host takes it at once.
+    pub async fn release<S: Store + ?Sized>(&mut self, store: &S) -> Renewal {
+        let mut row = lease_value(&self.candidate, self.epoch, self.store_ms, BTreeMap::new());
+        row.holder = None;
+        self.write(store, &row).await
+    }
+
+    async fn write<S: Store + ?Sized>(&mut self, store: &S, row: &rows::LeaseRow) -> Renewal {
+        let text = match encode(row) {
+            Ok(text) => text,
+            Err(error) => return Renewal::Unconfirmed(error),
+        };
+        let sent = self.clock.now();
+        let transaction = store::Transaction {
+            conditions: vec![
+                store::Condition {
+                    key: rows::lease(),
+                    version: self.lease_version,
+                },
+                self.condition(),
+            ],
+            writes: vec![(rows::lease(), text)],
+            removals: Vec::new(),
+        };
+        match store.commit(&transaction).await {
+            Ok(store::Commit::Applied { version }) => {
+                self.lease_version = version;
+                self.confirmed = sent;
+                self.store_ms = row.store_ms;
+                Renewal::Renewed
+            }
+            Ok(store::Commit::Conflict { rows: found }) => self.adopt(&found),
+            Err(error) => Renewal::Unconfirmed(error),
+        }
+    }
+
+    /// After a conflict: an earlier write of ours whose answer was lost may be the newest.
+    fn adopt(&mut self, found: &[store::Row]) -> Renewal {
+        let lease_row = found.iter().find(|row| row.key == rows::lease());
+        let lease: Option<rows::LeaseRow> = parse(lease_row);
+        match (lease_row, lease) {
+            (Some(row), Some(lease))
+                if lease.process == self.candidate.process && lease.epoch == self.epoch =>
+            {
+                self.lease_version = row.version;
+                Renewal::Unconfirmed(PlatformError::Unknown {
+                    reason: "an earlier renewal was applied late".to_owned(),
+                })
+            }
+            _ => Renewal::Lost,
+        }
+    }
+}
--- /dev/null
+++ b/lib/host/src/log.rs
@@ -0,0 +1,56 @@
+//! Log lines of decisions, one each, with what decided them.
+
+use camphorbeam_jobs::note::Note;
+use camphorbeam_model::{id, job};
+
+/// Writes one decision of the scheduler.
+pub fn decision(epoch: id::Epoch, note: &Note) {
+    match note {
+        Note::Placed {
+            job,
+            first,
+            tasks,
+            run,
+            server,
+            waited_ms,
+        } => spdlog::info!("placed", kv: {
+            job = job.as_str(), task = index(*first).as_str(), tasks = *tasks, run = run.0,
+            server = server.as_str(), waited_ms = *waited_ms, epoch = epoch.0
+        }),
+        Note::Ended {
+            job,
+            task,
+            run,
+            server,
+            how,
+            failures,
+        } => spdlog::info!("run ended", kv: {
+            job = job.as_str(), task = index(*task).as_str(), run = run.0,
+            server = server.as_str(), how = *how, failures = *failures, epoch = epoch.0
+        }),
+        Note::Stopping {
+            job,
+            task,
+            run,
+            server,
+            reason,
+        } => spdlog::info!("stopping", kv: {
+            job = job.as_str(), task = index(*task).as_str(), run = run.0,
+            server = server.as_str(), reason = *reason, epoch = epoch.0
+        }),
+        Note::State { job, state, age_ms } => spdlog::info!("job state", kv: {
+            job = job.as_str(), state = state.name(), age_ms = *age_ms, epoch = epoch.0
+        }),
+        Note::Server {
+            server,
+            belief,
+            runs,
+        } => spdlog::info!("backend server", kv: {
+            server = server.as_str(), belief = *belief, runs = *runs, epoch = epoch.0
+        }),
+    }
+}
+
+fn index(task: job::TaskIndex) -> String {
+    format!("{}.{}.{}", task.occurrence, task.step, task.rank)
+}
--- /dev/null
+++ b/lib/host/src/peers.rs
@@ -0,0 +1,273 @@
+//! Other entry hosts: found through the store, called by JSON-RPC.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use camphorbeam_platform::store;
+use camphorbeam_platform::table::PlatformError;
+use jsonrpsee::core::client::Error as RpcError;
+use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
+use jsonrpsee::proc_macros::rpc;
+use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+
+/// Limit for a call to a peer: longer than a direct call to the store, which it contains.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_300);
+
+/// Largest message between hosts, in bytes.
+const MESSAGE_MAX_BYTES: u32 = 8 * 1024 * 1024;
+
+/// Connections from other hosts served at once.
+const CONNECTIONS_MAX: u32 = 128;
+
+/// Error code of a call that has surely had no effect.
+const NOT_APPLIED_CODE: i32 = 1;
+
+/// Error code of a call that the store refused.
+const REJECTED_CODE: i32 = 2;
+
+/// Error code of a call that may have had an effect.
+const UNKNOWN_CODE: i32 = 3;
+
+/// Calls between entry hosts: reads and writes of the store for a host that can't reach it.
+#[rpc(server, client)]
+pub trait Peer {
+    /// Rows of a table, by the callee's own connection.
+    #[method(name = "rows")]
+    async fn rows(
+        &self,
+        table: String,
+        part: String,
+        from: String,
+        to: String,
+    ) -> Result<store::Rows, ErrorObjectOwned>;
+
+    /// Applies a transaction, by the callee's own connection.
+    #[method(name = "commit")]
+    async fn commit(
+        &self,
+        transaction: store::Transaction,
+    ) -> Result<store::Commit, ErrorObjectOwned>;
+
+    /// The newest terms that the callee has, as the operators wrote them.
+    #[method(name = "terms")]
+    async fn terms(&self) -> Result<Option<Arc<str>>, ErrorObjectOwned>;
+}
+
+fn error_of(error: &PlatformError) -> ErrorObjectOwned {
+    let code = match error {
+        PlatformError::NotApplied { .. } => NOT_APPLIED_CODE,
+        PlatformError::Rejected { .. } => REJECTED_CODE,
+        PlatformError::Unknown { .. } => UNKNOWN_CODE,
+    };
+    ErrorObjectOwned::owned(code, error.to_string(), None::<()>)
+}
+
+fn platform_error(address: SocketAddr, error: &RpcError) -> PlatformError {
+    let reason = format!("relay by entry host at {address}: {error}");
+    match error {
+        RpcError::Call(object) if object.code() == NOT_APPLIED_CODE => {
+            PlatformError::NotApplied { reason }
+        }
+        RpcError::Call(object) if object.code() == REJECTED_CODE => {
+            PlatformError::Rejected { reason }
+        }
+        _ => PlatformError::Unknown { reason },
+    }
+}
+
+/// What a host does for its peers.
+#[async_trait]
+pub trait Relay: Send + Sync {
+    /// Reads by the own connection to the store.
+    async fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError>;
+
+    /// Writes by the own connection to the store.
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError>;
+
+    /// The newest terms in hand.
+    fn terms(&self) -> Option<Arc<str>>;
+}
+
+struct Service {
+    relay: Arc<dyn Relay>,
+}
+
+#[async_trait]
+impl PeerServer for Service {
+    async fn rows(
+        &self,
+        table: String,
+        part: String,
+        from: String,
+        to: String,
+    ) -> Result<store::Rows, ErrorObjectOwned> {
+        let rows = self.relay.rows(&table, &part, &from, &to).await;
+        rows.map_err(|error| error_of(&error))
+    }
+
+    async fn commit(
+        &self,
+        transaction: store::Transaction,
+    ) -> Result<store::Commit, ErrorObjectOwned> {
+        let commit = self.relay.commit(&transaction).await;
+        commit.map_err(|error| error_of(&error))
+    }
+
+    async fn terms(&self) -> Result<Option<Arc<str>>, ErrorObjectOwned> {
+        Ok(self.relay.terms())
+    }
+}
+
+/// Serves other hosts on `address` until the handle is dropped.
+///
+/// # Errors
+///
+/// Fails if the address can't be bound.
+pub fn serve(address: SocketAddr, relay: Arc<dyn Relay>) -> anyhow::Result<ServerHandle> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_connections(CONNECTIONS_MAX)
+        .max_request_body_size(MESSAGE_MAX_BYTES)
+        .max_response_body_size(MESSAGE_MAX_BYTES)
+        .build();
+    let server = ServerBuilder::with_config(config).build_from_tcp(listener)?;
+    Ok(server.start(Service { relay }.into_rpc()))
+}
+
+/// The other hosts that are known, those first that have helped.
+#[derive(Debug)]
+pub struct Peers {
+    own: SocketAddr,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    order: Vec<SocketAddr>,
+    clients: BTreeMap<SocketAddr, HttpClient>,
+}
+
+impl Peers {
+    /// Knows `seeds`; `own` is our own address.
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let peers = Self {
+            own,
+            state: Mutex::default(),
+        };
+        peers.set_known(seeds);
+        peers
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes in which hosts there are. Known ones keep their place.
+    pub fn set_known(&self, addresses: &[SocketAddr]) {
+        let mut state = self.lock();
+        state.order.retain(|address| addresses.contains(address));
+        for address in addresses {
+            if *address != self.own && !state.order.contains(address) {
+                state.order.push(*address);
+            }
+        }
+        let State { order, clients } = &mut *state;
+        clients.retain(|address, _| order.contains(address));
+    }
+
+    /// Addresses in the order in which they are to be asked.
+    pub fn order(&self) -> Vec<SocketAddr> {
+        self.lock().order.clone()
+    }
+
+    /// Puts a host that did not help last.
+    pub fn demote(&self, address: SocketAddr) {
+        let mut state = self.lock();
+        if let Some(place) = state.order.iter().position(|known| *known == address) {
+            state.order.remove(place);
+            state.order.push(address);
+        }
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<HttpClient, PlatformError> {
+        let mut state = self.lock();
+        if let Some(client) = state.clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .request_timeout(CALL_TIMEOUT)
+            .max_request_size(MESSAGE_MAX_BYTES)
+            .max_response_size(MESSAGE_MAX_BYTES)
+            .build(format!("http://{address}"))
+            .map_err(|error| PlatformError::NotApplied {
+                reason: format!("no client for entry host at {address}: {error}"),
+            })?;
+        state.clients.insert(address, client.clone());
+        Ok(client)
+    }
+
+    /// Reads rows through the host at `address`.
+    ///
+    /// # Errors
+    ///
+    /// As its own call to the store.
+    pub async fn rows(
+        &self,
+        address: SocketAddr,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        let client = self.client(address)?;
+        let calling = client.rows(table.into(), part.into(), from.into(), to.into());
+        calling
+            .await
+            .map_err(|error| platform_error(address, &error))
+    }
+
+    /// Writes through the host at `address`.
+    ///
+    /// # Errors
+    ///
+    /// As its own call to the store.
+    pub async fn commit(
+        &self,
+        address: SocketAddr,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError> {
+        let client = self.client(address)?;
+        let calling = client.commit(transaction.clone());
+        calling
+            .await
+            .map_err(|error| platform_error(address, &error))
+    }
+
+    /// The newest terms of the host at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it does not answer.
+    pub async fn terms(&self, address: SocketAddr) -> Result<Option<Arc<str>>, PlatformError> {
+        let client = self.client(address)?;
+        client
+            .terms()
+            .await
+            .map_err(|error| platform_error(address, &error))
+    }
+}
--- /dev/null
+++ b/lib/host/src/registry.rs
@@ -0,0 +1,73 @@
+//! Keeps this host's row among the entry hosts, and reads the others'.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use camphorbeam_clock as clock;
+use camphorbeam_platform::store::{self, Store};
+
+use crate::{peers, relay, rows, settings};
+
+/// Time between two writes of the own row.
+const REFRESH: Duration = Duration::from_secs(20);
+
+/// Wait after a failure.
+const RETRY: Duration = Duration::from_millis(500);
+
+/// Age from which a row belongs to a host that is gone.
+const STALE_AFTER_MS: u64 = 60_000;
+
+/// Registers this host and learns of the others, for ever.
+pub async fn run(
+    settings: settings::Settings,
+    store: Arc<relay::RelayedStore>,
+    peers: Arc<peers::Peers>,
+    clock: clock::Clock,
+) {
+    loop {
+        let wait = match refresh(&settings, &store, &peers).await {
+            true => REFRESH,
+            false => RETRY,
+        };
+        clock.sleep(wait).await;
+    }
+}
+
+async fn refresh(
+    settings: &settings::Settings,
+    store: &relay::RelayedStore,
+    peers: &peers::Peers,
+) -> bool {
+    let Ok(known) = store.rows(rows::HOSTS_TABLE, rows::PART, "", "").await else {
+        return false;
+    };
+    let mut addresses: Vec<SocketAddr> = Vec::new();
+    let mut stale: Vec<store::RowKey> = Vec::new();
+    for row in &known.rows {
+        let text = row.value.as_deref().unwrap_or_default();
+        match serde_json::from_str::<rows::HostRow>(text) {
+            Ok(host) if host.store_ms + STALE_AFTER_MS < known.store_ms => {
+                stale.push(row.key.clone());
+            }
+            Ok(host) => addresses.push(host.peer_address),
+            Err(_) => stale.push(row.key.clone()),
+        }
+    }
+    peers.set_known(&addresses);
+    let own = rows::HostRow {
+        peer_address: settings.peer_address,
+        zone: settings.zone.clone(),
+        store_ms: known.store_ms,
+    };
+    let Ok(text) = serde_json::to_string(&own) else {
+        return false;
+    };
+    stale.truncate(store::TRANSACTION_ENTRIES_MAX / 2);
+    let transaction = store::Transaction {
+        conditions: Vec::new(),
+        writes: vec![(rows::host(&settings.host), text)],
+        removals: stale,
+    };
+    store.commit(&transaction).await.is_ok()
+}
--- /dev/null
+++ b/lib/host/src/relay.rs
@@ -0,0 +1,227 @@
+//! The store through the own connection or, while that fails, through another host.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use camphorbeam_clock as clock;
+use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::table::PlatformError;
+
+use crate::peers;
+
+/// How long the own connection is left alone after it failed.
+const DIRECT_PAUSE: Duration = Duration::from_millis(700);
+
+/// Hosts that are asked for one call.
+const PEERS_TRIED_MAX: usize = 3;
+
+/// Wait before a feed that can't be followed is given up, so that its reader does not spin.
+const FEED_PAUSE: Duration = Duration::from_millis(250);
+
+/// Time without any way to the store after which this is said to be lost.
+const LOST_AFTER: Duration = Duration::from_millis(2_000);
+
+/// The ways to the store.
+pub struct RelayedStore {
+    direct: Arc<dyn Store>,
+    peers: Arc<peers::Peers>,
+    clock: clock::Clock,
+    ways: Mutex<Ways>,
+}
+
+#[derive(Debug, Default)]
+struct Ways {
+    direct_failed: Option<clock::Monotonic>,
+    direct_succeeded: Option<clock::Monotonic>,
+    reached: Option<clock::Monotonic>,
+}
+
+impl RelayedStore {
+    /// Uses `direct` first.
+    pub fn new(direct: Arc<dyn Store>, peers: Arc<peers::Peers>, clock: clock::Clock) -> Self {
+        Self {
+            direct,
+            peers,
+            clock,
+            ways: Mutex::default(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Ways> {
+        self.ways.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the own connection is to be used.
+    fn is_direct_usable(&self) -> bool {
+        let now = self.clock.now();
+        self.lock()
+            .direct_failed
+            .is_none_or(|failed| now.since(failed) >= DIRECT_PAUSE)
+    }
+
+    /// Whether the own connection has worked in its newest call.
+    pub fn is_direct(&self) -> bool {
+        let ways = self.lock();
+        ways.direct_failed.is_none() && ways.direct_succeeded.is_some()
+    }
+
+    /// Whether the store was reached lately, by any way.
+    pub fn is_reached(&self) -> bool {
+        let now = self.clock.now();
+        self.lock()
+            .reached
+            .is_some_and(|reached| now.since(reached) < LOST_AFTER)
+    }
+
+    fn note_direct<T>(&self, result: &Result<T, PlatformError>) {
+        let now = self.clock.now();
+        let mut ways = self.lock();
+        match result {
+            Ok(_) | Err(PlatformError::Rejected { .. }) => {
+                if ways.direct_failed.take().is_some() {
+                    spdlog::info!("store regained", kv: { way = "direct" });
+                }
+                ways.direct_succeeded = Some(now);
+                ways.reached = Some(now);
+            }
+            Err(error) => {
+                if ways.direct_failed.is_none() {
+                    let reason = error.to_string();
+                    spdlog::warn!("store lost", kv: { way = "direct", reason = reason.as_str() });
+                }
+                ways.direct_failed = Some(now);
+            }
+        }
+    }
+
+    fn note_relay<T>(&self, address: SocketAddr, result: &Result<T, PlatformError>) {
+        match result {
+            Ok(_) | Err(PlatformError::Rejected { .. }) => {
+                self.lock().reached = Some(self.clock.now());
+            }
+            Err(_) => self.peers.demote(address),
+        }
+    }
+
+    fn helpers(&self) -> Vec<SocketAddr> {
+        let mut order = self.peers.order();
+        order.truncate(PEERS_TRIED_MAX);
+        order
+    }
+}
+
+fn no_way() -> PlatformError {
+    PlatformError::NotApplied {
+        reason: "neither the own connection nor another host reaches the store".to_owned(),
+    }
+}
+
+#[async_trait]
+impl Store for RelayedStore {
+    async fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        let mut last = no_way();
+        if self.is_direct_usable() {
+            let result = self.direct.rows(table, part, from, to).await;
+            self.note_direct(&result);
+            match result {
+                Ok(rows) => return Ok(rows),
+                Err(error @ PlatformError::Rejected { .. }) => return Err(error),
+                Err(error) => last = error,
+            }
+        }
+        for address in self.helpers() {
+            let result = self.peers.rows(address, table, part, from, to).await;
+            self.note_relay(address, &result);
+            match result {
+                Ok(rows) => return Ok(rows),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError> {
+        let mut last = no_way();
+        if self.is_direct_usable() {
+            let result = self.direct.commit(transaction).await;
+            self.note_direct(&result);
+            match result {
+                Err(error @ PlatformError::NotApplied { .. }) => last = error,
+                other => return other,
+            }
+        }
+        for address in self.helpers() {
+            let result = self.peers.commit(address, transaction).await;
+            self.note_relay(address, &result);
+            match result {
+                Err(error @ PlatformError::NotApplied { .. }) => last = error,
+                other => return other,
+            }
+        }
+        Err(last)
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+    ) -> Result<store::Changes, PlatformError> {
+        if !self.is_direct_usable() {
+            self.clock.sleep(FEED_PAUSE).await;
+            return Err(no_way());
+        }
+        let result = self.direct.changes(table, version, wait).await;
+        self.note_direct(&result);
+        result
+    }
+}
+
+/// What a host does for its peers: only its own connection counts.
+pub struct DirectRelay {
+    /// The own ways to the store.
+    pub ways: Arc<RelayedStore>,
+    /// The newest terms in hand.
+    pub terms: Arc<dyn Fn() -> Option<Arc<str>> + Send + Sync>,
+}
+
+#[async_trait]
+impl peers::Relay for DirectRelay {
+    async fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        match self.ways.is_direct() {
+            true => self.ways.direct.rows(table, part, from, to).await,
+            false => Err(no_way()),
+        }
+    }
+
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError> {
+        match self.ways.is_direct() {
+            true => self.ways.direct.commit(transaction).await,
+            false => Err(no_way()),
+        }
+    }
+
+    fn terms(&self) -> Option<Arc<str>> {
+        (self.terms)()
+    }
+}
--- /dev/null
+++ b/lib/jobs/src/engine.rs
@@ -0,0 +1,633 @@
+//! The state of the scheduler and the events that change it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use camphorbeam_model::{fleet, id, job, terms};
+
+use crate::live::{LiveRun, Phase};
+use crate::note::Note;
+use crate::orders::{
+    HoldOrder, HoldReply, RunName, StartOrder, StartOutcome, StartRefusal, StopOutcome,
+};
+use crate::preemption::Claims;
+use crate::progress::{JobState, Progress, TaskState};
+use crate::{health, open_job, server, settings};
+
+/// Time after which an order without an answer is sent again.
+pub(crate) const ORDER_RETRY_MS: u64 = 500;
+
+/// How long a backend server counts as full after it refused a task for want of room.
+const FULL_PAUSE_MS: u64 = 300;
+
+/// How long a backend server that says it is unwell gets no work.
+const UNWELL_PAUSE_MS: u64 = 3_000;
+
+/// How long a hold may wait for an end; also the time between two renewals of a lease.
+const HOLD_WAIT_MS: u64 = 1_000;
+
+/// Time on both clocks that matter.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    /// Our clock, which goes on while the host is suspended.
+    pub ms: u64,
+    /// The wall clock.
+    pub unix_ms: u64,
+}
+
+/// An order to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Start a run.
+    Start(id::BackendServerId, StartOrder),
+    /// Stop a run.
+    Stop(id::BackendServerId, RunName),
+}
+
+/// Progress to store.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// The job.
+    pub job: id::JobId,
+    /// What to store.
+    pub progress: Progress,
+    /// Its generation.
+    pub generation: u64,
+    /// Version of the stored row; zero if there is none.
+    pub row_version: u64,
+}
+
+/// The scheduler's state.
+#[derive(Debug, Default)]
+pub struct Engine {
+    pub(crate) settings: settings::Settings,
+    pub(crate) terms: Arc<terms::Terms>,
+    pub(crate) jobs: BTreeMap<id::JobId, open_job::OpenJob>,
+    pub(crate) closed: BTreeMap<id::JobId, u64>,
+    pub(crate) early_cancels: BTreeMap<id::JobId, u64>,
+    pub(crate) servers: BTreeMap<id::BackendServerId, server::Server>,
+    pub(crate) health: health::Health,
+    pub(crate) claims: Claims,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) notes: Vec<Note>,
+    pub(crate) is_deposed: bool,
+}
+
+impl Engine {
+    /// An engine that knows nothing yet.
+    pub fn new(settings: settings::Settings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Whether a backend server has shown that another scheduler has taken over.
+    pub fn is_deposed(&self) -> bool {
+        self.is_deposed
+    }
+
+    /// Puts `terms` in force.
+    pub fn set_terms(&mut self, terms: Arc<terms::Terms>) {
+        if terms.version <= self.terms.version {
+            return;
+        }
+        for job in self.jobs.values_mut() {
+            match terms.queue(&job.accepted.queue) {
+                Some(queue) => job.accepted.terms = queue.job_terms.clone(),
+                // Jobs of a removed queue go on under the terms at their acceptance.
+                None => {}
+            }
+        }
+        self.terms = terms;
+    }
+
+    /// Takes in what the registry lists now; what is missing counts as gone once its lease passed.
+    pub fn set_servers(&mut self, entries: Vec<fleet::ServerEntry>, now: Now) {
+        for server in self.servers.values_mut() {
+            server.is_listed = false;
+        }
+        for entry in entries {
+            match self.servers.get_mut(&entry.id) {
+                Some(server) => {
+                    if entry.is_draining && !server.entry.is_draining {
+                        self.notes.push(Note::Server {
+                            server: entry.id.clone(),
+                            belief: "draining",
+                            runs: 0,
+                        });
+                    }
+                    server.is_listed = true;
+                    server.entry = entry;
+                }
+                None => {
+                    self.notes.push(Note::Server {
+                        server: entry.id.clone(),
+                        belief: "registered",
+                        runs: 0,
+                    });
+                    let server = server::Server::new(entry.clone(), now.ms);
+                    self.servers.insert(entry.id, server);
+                }
+            }
+        }
+    }
+
+    /// Backend servers that need a hold loop, with their addresses.
+    pub fn servers(&self) -> impl Iterator<Item = &server::Server> {
+        self.servers.values()
+    }
+
+    /// The address of a backend server that is known.
+    pub fn address(&self, id: &id::BackendServerId) -> Option<std::net::SocketAddr> {
+        self.servers.get(id).map(|server| server.entry.address)
+    }
+
+    /// Whether `job` is known, open or ended.
+    pub fn knows(&self, job: &id::JobId) -> bool {
+        self.jobs.contains_key(job) || self.closed.contains_key(job)
+    }
+
+    /// Takes in an accepted job, with the progress that is stored of it.
+    pub fn submit(
+        &mut self,
+        id: id::JobId,
+        mut accepted: job::AcceptedJob,
+        stored: Option<(Progress, u64)>,
+        now: Now,
+    ) {
+        if self.knows(&id) {
+            return;
+        }
+        if let Some(queue) = self.terms.queue(&accepted.queue) {
+            accepted.terms = queue.job_terms.clone();
+        }
+        let (progress, row_version) = stored.unwrap_or_default();
+        if progress.state.is_final() {
+            self.closed.insert(id, progress.ended_unix_ms);
+            return;
+        }
+        let age_ms = now.unix_ms.saturating_sub(accepted.accepted_unix_ms);
+        let accepted_ms = now.ms.saturating_sub(age_ms);
+        let is_cancelled = self.early_cancels.remove(&id).is_some();
+        let mut job =
+            open_job::OpenJob::new(id.clone(), accepted, progress, row_version, accepted_ms);
+        self.inherit_runs(&mut job, now);
+        self.jobs.insert(id.clone(), job);
+        if is_cancelled {
+            self.cancel(&id, now);
+        }
+    }
+
+    /// Counts the runs that an earlier scheduler has recorded as there until a hold tells.
+    fn inherit_runs(&mut self, job: &mut open_job::OpenJob, now: Now) {
+        let started: Vec<_> = job
+            .progress
+            .tasks
+            .iter()
+            .filter(|(_, record)| record.state == TaskState::Started)
+            .map(|(index, record)| (*index, record.run, record.server.clone()))
+            .collect();
+        for (index, run, on) in started {
+            let need = job.step(index).need;
+            let known = on.filter(|on| self.servers.contains_key(on));
+            match known {
+                Some(on) => {
+                    if let Some(server) = self.servers.get_mut(&on) {
+                        server.used = server.used.plus(&need);
+                    }
+                    job.runs
+                        .insert(index, LiveRun::inherited(on, run, need, now.ms));
+                }
+                // The registry has dropped it: it is gone.
+                None => {
+                    job.progress.task_mut(index).state = TaskState::Waiting;
+                    job.touch();
+                }
+            }
+        }
+    }
+
+    /// Cancels a job; one that is not known yet is cancelled when it comes.
+    pub fn cancel(&mut self, id: &id::JobId, now: Now) {
+        match self.jobs.get(id) {
+            Some(job) if !job.progress.state.is_final() => {
+                self.finish(id, JobState::Cancelled, now);
+            }
+            Some(_) => {}
+            None if self.closed.contains_key(id) => {}
+            None => {
+                self.early_cancels.insert(id.clone(), now.unix_ms);
+            }
+        }
+    }
+
+    /// Ends a job and stops what still runs of it.
+    pub(crate) fn finish(&mut self, id: &id::JobId, state: JobState, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.progress.state = state;
+        job.progress.ended_unix_ms = now.unix_ms;
+        job.touch();
+        self.notes.push(Note::State {
+            job: id.clone(),
+            state,
+            age_ms: now.ms.saturating_sub(job.accepted_ms),
+        });
+        self.claims.retain(|(claimant, _), _| claimant != id);
+        let indexes: Vec<_> = self.jobs[id].runs.keys().copied().collect();
+        for index in indexes {
+            self.want_stop(id, index, "job ended", now);
+        }
+    }
+
+    /// Asks for the end of a run. One whose order was not sent yet is dropped.
+    pub(crate) fn want_stop(
+        &mut self,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        reason: &'static str,
+        now: Now,
+    ) {
+        let Some(live) = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index))
+        else {
+            return;
+        };
+        let note = Note::Stopping {
+            job: id.clone(),
+            task: index,
+            run: live.run,
+            server: live.server.clone(),
+            reason,
+        };
+        match live.phase {
+            Phase::Recorded { .. } => {
+                self.notes.push(note);
+                self.resolve(id, index);
+            }
+            Phase::Ordered { .. } | Phase::Present { .. } => {
+                live.phase = Phase::Stopping {
+                    next_ms: Some(now.ms),
+                };
+                self.notes.push(note);
+            }
+            Phase::Stopping { .. } | Phase::Stopped { .. } => {}
+        }
+    }
+
+    /// Takes a run off its server: it is known to be gone. Its task waits again unless it is done.
+    pub(crate) fn resolve(&mut self, id: &id::JobId, index: job::TaskIndex) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(live) = job.runs.remove(&index) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(&live.server) {
+            server.used = server.used.minus(&live.need);
+        }
+        let record = job.progress.task_mut(index);
+        match record.state {
+            TaskState::Started => {
+                record.state = TaskState::Waiting;
+                job.touch();
+            }
+            TaskState::Waiting | TaskState::Done => job.touch_runs(),
+        }
+    }
+
+    /// The next hold of a server; `None` once nothing is expected of it any more.
+    pub fn next_hold(&mut self, id: &id::BackendServerId, now: Now) -> Option<HoldOrder> {
+        let lease_max_ms = self.settings.lease_max_ms;
+        let server = self.servers.get_mut(id)?;
+        let is_over = !server.is_listed && now.ms > server.lapse_ms(lease_max_ms);
+        if is_over && server.used == job::Resources::default() {
+            self.servers.remove(id);
+            return None;
+        }
+        let is_first = server.clock.is_none();
+        let has_unacknowledged = server.ends_seen > server.ends_acknowledged;
+        Some(HoldOrder {
+            lease_until_server_ms: server.next_lease(now.ms, lease_max_ms),
+            ends_acknowledged: server.ends_acknowledged,
+            wait_ms: match is_first || has_unacknowledged {
+                true => 0,
+                false => HOLD_WAIT_MS,
+            },
+        })
+    }
+
+    /// Whether ends of a server wait to be stored.
+    pub fn has_unstored_ends(&self, id: &id::BackendServerId) -> bool {
+        self.servers
+            .get(id)
+            .is_some_and(|server| !server.unstored_ends.is_empty())
+    }
+
+    /// Takes in the answer to a hold that was sent at `sent_ms`.
+    pub fn hold_reply(
+        &mut self,
+        id: &id::BackendServerId,
+        sent_ms: u64,
+        reply: &HoldReply,
+        now: Now,
+    ) {
+        let Some(server) = self.servers.get_mut(id) else {
+            return;
+        };
+        match server.life {
+            Some(life) if life > reply.life => return,
+            Some(life) if life == reply.life => {}
+            known => {
+                server.life = Some(reply.life);
+                server.ends_seen = 0;
+                server.ends_acknowledged = 0;
+                server.unstored_ends.clear();
+                server.lease_until_server_ms = 0;
+                if known.is_some() {
+                    self.lose_runs_of_earlier_life(id, now);
+                }
+            }
+        }
+        if let Some(server) = self.servers.get_mut(id) {
+            server.clock = Some(server::ClockReading {
+                server_ms: reply.server_ms,
+                at_ms: now.ms,
+            });
+            server.replied_ms = Some(now.ms);
+        }
+        self.take_ends(id, reply, now);
+        self.take_running(id, sent_ms, reply, now);
+    }
+
+    /// Runs that were present in an earlier life are gone; an order without answer may still come.
+    fn lose_runs_of_earlier_life(&mut self, id: &id::BackendServerId, now: Now) {
+        let on_it = self.runs_on(id);
+        self.notes.push(Note::Server {
+            server: id.clone(),
+            belief: "started anew",
+            runs: on_it.len(),
+        });
+        for (job, index) in on_it {
+            let phase = self.jobs[&job].runs[&index].phase;
+            match phase {
+                Phase::Present { .. } | Phase::Stopped { .. } => self.lose(&job, index, now),
+                Phase::Ordered { .. } => self.want_stop(&job, index, "server started anew", now),
+                Phase::Recorded { .. } => self.want_stop(&job, index, "server started anew", now),
+                Phase::Stopping { .. } => {}
+            }
+        }
+    }
+
+    /// Runs that may exist on a server.
+    pub(crate) fn runs_on(&self, id: &id::BackendServerId) -> Vec<(id::JobId, job::TaskIndex)> {
+        self.jobs
+            .values()
+            .flat_map(|job| {
+                let on_it = job.runs.iter().filter(|(_, live)| &live.server == id);
+                on_it.map(|(index, _)| (job.id.clone(), *index))
+            })
+            .collect()
+    }
+
+    /// Takes in the answer to a start order.
+    pub fn start_reply(&mut self, name: &RunName, outcome: &StartOutcome, now: Now) {
+        let (id, index) = (&name.task.job, name.task.index);
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        let Some(live) = live.filter(|live| live.run == name.run) else {
+            return;
+        };
+        let server = live.server.clone();
+        match (outcome, live.phase) {
+            (StartOutcome::Present, Phase::Ordered { .. }) => {
+                live.phase = Phase::Present { since_ms: now.ms };
+                live.progress_ms = now.ms;
+                self.begin(id);
+            }
+            (StartOutcome::Unknown { .. }, Phase::Ordered { since_ms, .. }) => {
+                live.phase = Phase::Ordered {
+                    since_ms,
+                    retry_ms: Some(now.ms + ORDER_RETRY_MS),
+                };
+            }
+            (StartOutcome::Refused(refusal), phase) => {
+                self.start_refused(id, index, *refusal, phase, &server, now);
+            }
+            // A hold has told more already, or a stop is under way.
+            (StartOutcome::Present | StartOutcome::Unknown { .. }, _) => {}
+        }
+    }
+
+    /// Notes that a task of the job is at work.
+    pub(crate) fn begin(&mut self, id: &id::JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_begun = true;
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        refusal: StartRefusal,
+        phase: Phase,
+        on: &id::BackendServerId,
+        now: Now,
+    ) {
+        match refusal {
+            StartRefusal::Fenced => {
+                self.is_deposed = true;
+                return;
+            }
+            StartRefusal::NoRoom => {
+                if let Some(server) = self.servers.get_mut(on) {
+                    server.full_until_ms = now.ms + FULL_PAUSE_MS;
+                }
+            }
+            StartRefusal::Unhealthy | StartRefusal::OtherServer | StartRefusal::Invalid => {
+                self.health.set_aside(on, now.ms + UNWELL_PAUSE_MS);
+            }
+            StartRefusal::Outdated | StartRefusal::Late => {}
+        }
+        // An earlier copy of the order may have got through: only `Outdated` rules that out, since
+        // then the run has been there or was stopped.
+        let was_sent_once = matches!(phase, Phase::Ordered { retry_ms: None, since_ms }
+            if now.ms < since_ms + ORDER_RETRY_MS);
+        match was_sent_once || refusal == StartRefusal::Outdated {
+            true => self.lose(id, index, now),
+            false => self.want_stop(id, index, "start refused", now),
+        }
+    }
+
+    /// Takes in the answer to a stop order.
+    pub fn stop_reply(&mut self, name: &RunName, outcome: &StopOutcome, now: Now) {
+        let (id, index) = (&name.task.job, name.task.index);
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        match (outcome, live) {
+            (StopOutcome::Fenced, _) => self.is_deposed = true,
+            (_, None) => {}
+            (_, Some(live)) if live.run != name.run => {}
+            (StopOutcome::Accepted, Some(live)) => {
+                live.phase = Phase::Stopped { since_ms: now.ms };
+            }
+            (StopOutcome::OtherServer | StopOutcome::Unknown { .. }, Some(live)) => {
+                live.phase = Phase::Stopping {
+                    next_ms: Some(now.ms + ORDER_RETRY_MS),
+                };
+            }
+        }
+    }
+
+    /// Progress that is not stored, at most `count_max` jobs. Ends come before starts.
+    pub fn unstored(&self, count_max: usize) -> Vec<Change> {
+        let unstored = self.jobs.values().filter(|job| job.is_unstored());
+        unstored
+            .take(count_max)
+            .map(|job| Change {
+                job: job.id.clone(),
+                progress: job.progress.clone(),
+                generation: job.generation,
+                row_version: job.row_version,
+            })
+            .collect()
+    }
+
+    /// Takes in that progress of `job` is stored up to `generation`, as `row_version`.
+    pub fn stored(&mut self, id: &id::JobId, generation: u64, row_version: u64, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.stored_generation = generation;
+        job.row_version = row_version;
+        let sendable: Vec<_> = job
+            .runs
+            .iter_mut()
+            .filter_map(|(index, live)| match live.phase {
+                Phase::Recorded { generation: needed } if needed <= generation => {
+                    live.phase = Phase::Ordered {
+                        since_ms: now.ms,
+                        retry_ms: None,
+                    };
+                    Some(*index)
+                }
+                _ => None,
+            })
+            .collect();
+        for index in sendable {
+            self.order_start(id, index, now);
+        }
+        for server in self.servers.values_mut() {
+            server
+                .unstored_ends
+                .retain(|job, needed| job != id || *needed > generation);
+            if server.unstored_ends.is_empty() {
+                server.ends_acknowledged = server.ends_seen;
+            }
+        }
+        self.close_if_over(id);
+    }
+
+    /// Gives out the start order of a recorded run.
+    pub(crate) fn order_start(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        let lease_max_ms = self.settings.lease_max_ms;
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let live = &job.runs[&index];
+        let server = self.servers.get_mut(&live.server);
+        let lease = server.and_then(|server| server.next_lease(now.ms, lease_max_ms));
+        let Some(lease_until_server_ms) = lease else {
+            // Placed only on servers whose clock is known; a new life is handled by its hold.
+            return;
+        };
+        let order = StartOrder {
+            name: RunName {
+                task: job::TaskName {
+                    job: id.clone(),
+                    index,
+                },
+                run: live.run,
+            },
+            payload: Arc::clone(&job.accepted.spec.payload),
+            lease_until_server_ms,
+            checkpoint: job.progress.task(index).checkpoint,
+        };
+        self.orders.push(Order::Start(live.server.clone(), order));
+    }
+
+    /// Forgets a job whose end is stored and of which nothing runs.
+    pub(crate) fn close_if_over(&mut self, id: &id::JobId) {
+        let is_over = self.jobs.get(id).is_some_and(|job| {
+            job.progress.state.is_final() && job.runs.is_empty() && !job.is_unstored()
+        });
+        if !is_over {
+            return;
+        }
+        if let Some(job) = self.jobs.remove(id) {
+            self.closed.insert(id.clone(), job.progress.ended_unix_ms);
+            self.health.forget(id);
+        }
+    }
+
+    /// Ended jobs whose time in the store is over, at most `count_max`; they are forgotten here.
+    pub fn take_expired(&mut self, count_max: usize, now: Now) -> Vec<id::JobId> {
+        let retention_ms = self.settings.retention_ms;
+        let expired: Vec<_> = self
+            .closed
+            .iter()
+            .filter(|(_, ended_unix_ms)| **ended_unix_ms + retention_ms < now.unix_ms)
+            .map(|(id, _)| id.clone())
+            .take(count_max)
+            .collect();
+        for id in &expired {
+            self.closed.remove(id);
+        }
+        self.early_cancels
+            .retain(|_, at_unix_ms| *at_unix_ms + retention_ms >= now.unix_ms);
+        expired
+    }
+
+    /// Takes the orders to send.
+    pub fn take_orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes the decisions to log.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Jobs without a schedule of each queue of which no task has been at work.
+    pub fn waiting(&self) -> BTreeMap<id::QueueName, u64> {
+        let mut waiting = BTreeMap::new();
+        for job in self.jobs.values() {
+            let counts = !job.has_begun
+                && !job.progress.state.is_final()
+                && job.accepted.spec.schedule.is_none();
+            if counts {
+                *waiting.entry(job.accepted.queue.clone()).or_default() += 1;
+            }
+        }
+        waiting
+    }
+
+    /// Open jobs, for reports and tests.
+    pub fn jobs(&self) -> impl Iterator<Item = &open_job::OpenJob> {
+        self.jobs.values()
+    }
+
+    /// An open job.
+    pub fn job(&self, id: &id::JobId) -> Option<&open_job::OpenJob> {
+        self.jobs.get(id)
+    }
+}
--- /dev/null
+++ b/lib/jobs/src/live.rs
@@ -0,0 +1,96 @@
+//! Runs that may exist, as the engine believes.
+
+use camphorbeam_model::{id, job};
+
+/// How a run stands between its record and the proof that it is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// The order is not sent before its record is stored.
+    Recorded {
+        /// The generation of the job's progress that holds the record.
+        generation: u64,
+    },
+    /// The order was sent; `retry_ms` says when to send it again without an answer.
+    Ordered {
+        /// When the first order was sent.
+        since_ms: u64,
+        /// When it is sent again; `None` while an answer may come.
+        retry_ms: Option<u64>,
+    },
+    /// It is there; a hold sent after `since_ms` that does not list it proves that it is gone.
+    Present {
+        /// When this was learned.
+        since_ms: u64,
+    },
+    /// It has to end; the stop is sent at `next_ms`.
+    Stopping {
+        /// When the stop is sent next; `None` while an answer may come.
+        next_ms: Option<u64>,
+    },
+    /// The stop was accepted; a hold sent after `since_ms` that does not list it proves its end.
+    Stopped {
+        /// When this was learned.
+        since_ms: u64,
+    },
+}
+
+/// A run that may exist.
+#[derive(Clone, Debug)]
+pub struct LiveRun {
+    /// Where.
+    pub server: id::BackendServerId,
+    /// Its number.
+    pub run: id::Run,
+    /// How it stands.
+    pub phase: Phase,
+    /// What it takes there.
+    pub need: job::Resources,
+    /// Newest known share of its work, 0 to 100.
+    pub percent: u32,
+    /// When `percent` last rose, or when the run became present.
+    pub progress_ms: u64,
+    /// First known progress: percent and time.
+    pub first_progress: Option<(u32, u64)>,
+}
+
+impl LiveRun {
+    /// A run whose record is in `generation` of the job's progress.
+    pub fn recorded(
+        server: id::BackendServerId,
+        run: id::Run,
+        need: job::Resources,
+        generation: u64,
+    ) -> Self {
+        Self {
+            server,
+            run,
+            phase: Phase::Recorded { generation },
+            need,
+            percent: 0,
+            progress_ms: 0,
+            first_progress: None,
+        }
+    }
+
+    /// A run that an earlier scheduler has recorded.
+    pub fn inherited(
+        server: id::BackendServerId,
+        run: id::Run,
+        need: job::Resources,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            phase: Phase::Present { since_ms: now_ms },
+            progress_ms: now_ms,
+            ..Self::recorded(server, run, need, 0)
+        }
+    }
+
+    /// Whether it works or is about to, and nobody has asked for its end.
+    pub fn is_wanted(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Recorded { .. } | Phase::Ordered { .. } | Phase::Present { .. }
+        )
+    }
+}
--- /dev/null
+++ b/lib/jobs/src/outcome.rs
@@ -0,0 +1,258 @@
+//! What the lists of a backend server mean for the runs that are believed there.
+
+use camphorbeam_model::{id, job};
+
+use crate::engine::{Engine, Now, Order};
+use crate::live::Phase;
+use crate::note::Note;
+use crate::orders::{EndEntry, EndKind, HoldReply};
+use crate::progress::{JobState, TaskState};
+
+impl Engine {
+    /// Takes in the ends that were not seen before.
+    pub(crate) fn take_ends(&mut self, id: &id::BackendServerId, reply: &HoldReply, now: Now) {
+        for end in &reply.ended {
+            let Some(server) = self.servers.get_mut(id) else {
+                return;
+            };
+            if end.number <= server.ends_seen {
+                continue;
+            }
+            server.ends_seen = end.number;
+            self.take_end(id, end, now);
+            let job = &end.name.task.job;
+            let unstored = self.jobs.get(job).filter(|job| job.is_unstored());
+            match (unstored.map(|job| job.generation), self.servers.get_mut(id)) {
+                (Some(generation), Some(server)) => {
+                    server.unstored_ends.insert(job.clone(), generation);
+                }
+                (None, _) | (_, None) => {}
+            }
+        }
+        if let Some(server) = self.servers.get_mut(id) {
+            if server.unstored_ends.is_empty() {
+                server.ends_acknowledged = server.ends_seen;
+            }
+        }
+    }
+
+    fn take_end(&mut self, on: &id::BackendServerId, end: &EndEntry, now: Now) {
+        let (id, index) = (&end.name.task.job, end.name.task.index);
+        let live = self.jobs.get(id).and_then(|job| job.runs.get(&index));
+        let is_current = live.is_some_and(|live| live.run == end.name.run && &live.server == on);
+        if !is_current {
+            return;
+        }
+        self.learn_from_end(on, id, index, end, now);
+        self.keep_checkpoint(id, index, end);
+        match end.kind {
+            EndKind::Done => self.task_done(on, id, index, now),
+            EndKind::Failed => self.task_failed(on, id, index, now),
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => {
+                self.run_over(id, index, end.kind.name(), now);
+            }
+        }
+        self.close_if_over(id);
+    }
+
+    fn keep_checkpoint(&mut self, id: &id::JobId, index: job::TaskIndex, end: &EndEntry) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if end.checkpoint.is_empty() || !job.step(index).is_checkpointing {
+            return;
+        }
+        for member in job.unit_of(index).members() {
+            job.progress.task_mut(member).checkpoint = end.checkpoint.clone();
+        }
+        job.touch();
+    }
+
+    fn learn_from_end(
+        &mut self,
+        on: &id::BackendServerId,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        end: &EndEntry,
+        now: Now,
+    ) {
+        let job = &self.jobs[id];
+        let live = &job.runs[&index];
+        let estimate_ms = job.step(index).estimate_ms;
+        let span = live.first_progress.map(|(percent, at_ms)| {
+            let share = f64::from(100_u32.saturating_sub(percent)) / 100.0;
+            (share, now.ms.saturating_sub(at_ms))
+        });
+        match (end.kind, span, self.servers.get_mut(on)) {
+            (EndKind::Done, Some((share, took_ms)), Some(server))
+                if share >= SPEED_SHARE_MIN && took_ms > 0 =>
+            {
+                server.learn_speed(share * estimate_ms as f64 / took_ms as f64);
+            }
+            _ => {}
+        }
+    }
+
+    fn task_done(
+        &mut self,
+        on: &id::BackendServerId,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        now: Now,
+    ) {
+        self.health.finished(on);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.step(index).is_lasting {
+            self.run_over(id, index, EndKind::Done.name(), now);
+            return;
+        }
+        let unit = job.unit_of(index);
+        for member in unit.members() {
+            job.progress.task_mut(member).state = TaskState::Done;
+        }
+        job.touch();
+        self.note_end(id, index, EndKind::Done.name());
+        self.resolve(id, index);
+        for member in unit.members().filter(|member| *member != index) {
+            // The others end with it; a hold shows when their servers are free again.
+            self.expect_end(id, member, now);
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if !job.progress.state.is_final() && job.is_all_done() {
+            self.finish(id, JobState::Completed, now);
+        }
+    }
+
+    fn expect_end(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        let job = self.jobs.get_mut(id);
+        if let Some(live) = job.and_then(|job| job.runs.get_mut(&index)) {
+            live.phase = Phase::Stopped { since_ms: now.ms };
+        }
+    }
+
+    fn task_failed(
+        &mut self,
+        on: &id::BackendServerId,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        now: Now,
+    ) {
+        self.health.failed(id, on, now.ms);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let unit = job.unit_of(index);
+        let run = job.runs[&index].run;
+        let mut failures = 0;
+        for member in unit.members() {
+            let record = job.progress.task_mut(member);
+            // Members that fail in the same run count once.
+            if record.run == run {
+                record.failures += 1;
+                failures = failures.max(record.failures);
+            }
+        }
+        job.touch();
+        let is_lasting = job.step(index).is_lasting;
+        let is_spent = !is_lasting && failures >= job.accepted.terms.attempts_max;
+        let is_final = job.progress.state.is_final();
+        self.run_over(id, index, EndKind::Failed.name(), now);
+        if is_spent && !is_final {
+            self.finish(id, JobState::Failed, now);
+        }
+    }
+
+    /// A run has ended without finishing: its gang, if any, is stopped as a whole.
+    fn run_over(&mut self, id: &id::JobId, index: job::TaskIndex, how: &'static str, now: Now) {
+        self.note_end(id, index, how);
+        self.resolve(id, index);
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let unit = job.unit_of(index);
+        for member in unit.members().filter(|member| *member != index) {
+            self.want_stop(id, member, "another member ended", now);
+        }
+    }
+
+    /// Counts a run as gone that nobody has listed as ended.
+    pub(crate) fn lose(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        self.run_over(id, index, "lost", now);
+        self.close_if_over(id);
+    }
+
+    fn note_end(&mut self, id: &id::JobId, index: job::TaskIndex, how: &'static str) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if let Some(live) = job.runs.get(&index) {
+            self.notes.push(Note::Ended {
+                job: id.clone(),
+                task: index,
+                run: live.run,
+                server: live.server.clone(),
+                how,
+                failures: job.progress.task(index).failures,
+            });
+        }
+    }
+
+    /// Compares what a server lists as running with what is believed there.
+    pub(crate) fn take_running(
+        &mut self,
+        on: &id::BackendServerId,
+        sent_ms: u64,
+        reply: &HoldReply,
+        now: Now,
+    ) {
+        for entry in &reply.running {
+            let (id, index) = (&entry.name.task.job, entry.name.task.index);
+            let live = self
+                .jobs
+                .get_mut(id)
+                .and_then(|job| job.runs.get_mut(&index));
+            let live = live.filter(|live| live.run == entry.name.run && &live.server == on);
+            let Some(live) = live else {
+                let order = Order::Stop(on.clone(), entry.name.clone());
+                if !self.orders.contains(&order) {
+                    self.orders.push(order);
+                }
+                continue;
+            };
+            if entry.percent > live.percent {
+                live.percent = entry.percent;
+                live.progress_ms = now.ms;
+                live.first_progress.get_or_insert((entry.percent, now.ms));
+            }
+            if matches!(live.phase, Phase::Ordered { .. }) {
+                live.phase = Phase::Present { since_ms: now.ms };
+                live.progress_ms = now.ms;
+                self.begin(id);
+            } else if matches!(live.phase, Phase::Present { .. }) {
+                self.begin(id);
+            }
+        }
+        for (id, index) in self.runs_on(on) {
+            let live = &self.jobs[&id].runs[&index];
+            let is_listed = reply.running.iter().any(|entry| {
+                entry.name.run == live.run
+                    && entry.name.task.index == index
+                    && entry.name.task.job == id
+            });
+            let is_gone = match live.phase {
+                Phase::Present { since_ms } | Phase::Stopped { since_ms } => sent_ms > since_ms,
+                Phase::Recorded { .. } | Phase::Ordered { .. } | Phase::Stopping { .. } => false,
+            };
+            if is_gone && !is_listed {
+                self.lose(&id, index, now);
+            }
+        }
+    }
+}
+
+/// Share of a task's work that must have been watched for a sample of its server's speed.
+const SPEED_SHARE_MIN: f64 = 0.4;
--- /dev/null
+++ b/lib/jobs/src/server.rs
@@ -0,0 +1,123 @@
+//! A backend server as the scheduler knows it.
+
+use std::collections::BTreeMap;
+
+use camphorbeam_model::{fleet, id, job};
+
+use crate::settings;
+
+/// A reading of a backend server's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReading {
+    /// What it showed.
+    pub server_ms: u64,
+    /// When the reading came in, on our clock.
+    pub at_ms: u64,
+}
+
+/// Silence after which a backend server gets no new work. A hold is answered each second.
+const SILENCE_MAX_MS: u64 = 2_500;
+
+/// Weight of a new speed sample.
+const SPEED_SAMPLE_WEIGHT: f64 = 0.3;
+
+/// A backend server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// What it registered.
+    pub entry: fleet::ServerEntry,
+    /// Whether the registry still has it.
+    pub is_listed: bool,
+    /// Its life, once it has answered.
+    pub life: Option<fleet::Life>,
+    /// Its clock, once it has answered.
+    pub clock: Option<ClockReading>,
+    /// When a hold was last answered.
+    pub replied_ms: Option<u64>,
+    /// When it became known.
+    pub known_since_ms: u64,
+    /// Latest lease that was sent, on its clock.
+    pub lease_until_server_ms: u64,
+    /// Highest end that was taken in.
+    pub ends_seen: u64,
+    /// Highest end that is recorded in the store.
+    pub ends_acknowledged: u64,
+    /// Progress that must be stored before `ends_seen` can be acknowledged.
+    pub unstored_ends: BTreeMap<id::JobId, u64>,
+    /// What runs take that may exist on it.
+    pub used: job::Resources,
+    /// Until when it counts as full after it refused a task for want of room.
+    pub full_until_ms: u64,
+    /// Speed relative to what callers estimate.
+    pub speed_ratio: f64,
+    /// Number of samples in `speed_ratio`.
+    pub speed_samples: u32,
+}
+
+impl Server {
+    /// A backend server that has not answered yet.
+    pub fn new(entry: fleet::ServerEntry, now_ms: u64) -> Self {
+        Self {
+            entry,
+            is_listed: true,
+            life: None,
+            clock: None,
+            replied_ms: None,
+            known_since_ms: now_ms,
+            lease_until_server_ms: 0,
+            ends_seen: 0,
+            ends_acknowledged: 0,
+            unstored_ends: BTreeMap::new(),
+            used: job::Resources::default(),
+            full_until_ms: 0,
+            speed_ratio: 1.0,
+            speed_samples: 0,
+        }
+    }
+
+    /// What is free.
+    pub fn free(&self) -> job::Resources {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Whether orders can be given: it is registered, stays, and answers.
+    pub fn is_usable(&self, now_ms: u64) -> bool {
+        let is_heard = self
+            .replied_ms
+            .is_some_and(|replied_ms| now_ms < replied_ms + SILENCE_MAX_MS);
+        self.is_listed && !self.entry.is_draining && is_heard && now_ms >= self.full_until_ms
+    }
+
+    /// The lease to send now, on the server's clock.
+    pub fn next_lease(&mut self, now_ms: u64, lease_max_ms: u64) -> Option<u64> {
+        let clock = self.clock?;
+        let until = clock.server_ms + now_ms.saturating_sub(clock.at_ms) + lease_max_ms;
+        self.lease_until_server_ms = self.lease_until_server_ms.max(until);
+        Some(until)
+    }
+
+    /// When, on our clock, every lease on it has surely passed.
+    pub fn lapse_ms(&self, lease_max_ms: u64) -> u64 {
+        let slow = |server_ms: u64| {
+            (server_ms as f64 / (1.0 - settings::SERVER_CLOCK_DRIFT_RATIO)).ceil() as u64
+        };
+        match self.clock {
+            Some(clock) => {
+                let left = self.lease_until_server_ms.saturating_sub(clock.server_ms);
+                clock.at_ms + slow(left) + settings::LAPSE_MARGIN_MS
+            }
+            // An earlier scheduler may have renewed it until the moment of its end.
+            None => self.known_since_ms + slow(lease_max_ms) + settings::LAPSE_MARGIN_MS,
+        }
+    }
+
+    /// Takes in how fast a task ran here, relative to its estimate.
+    pub fn learn_speed(&mut self, sample_ratio: f64) {
+        let weight = match self.speed_samples {
+            0 => 1.0,
+            _ => SPEED_SAMPLE_WEIGHT,
+        };
+        self.speed_ratio += weight * (sample_ratio - self.speed_ratio);
+        self.speed_samples += 1;
+    }
+}
--- a/lib/model/src/id.rs
+++ b/lib/model/src/id.rs
@@ -129,6 +129,22 @@
     "request"
 );
 
+name_type!(
+    /// Identifies a job, as its caller chose it.
+    JobId,
+    "job"
+);
+name_type!(
+    /// Names a queue.
+    QueueName,
+    "queue"
+);
+name_type!(
+    /// Names a service: the pool of backend servers that runs the tasks of some queues.
+    ServiceName,
+    "service"
+);
+
 /// Number of hexadecimal digits of a digest that a request id keeps.
 const REQUEST_ID_DIGITS: usize = 32;
 
@@ -193,3 +209,13 @@
     Rank,
     u32
 );
+number_type!(
+    /// Version of the operators' terms. Only rises; zero stands for none.
+    TermsVersion,
+    u64
+);
+number_type!(
+    /// Numbers the starts of one task, from 1. Members of a gang share it.
+    Run,
+    u32
+);
--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod memory;
 pub mod objects;
 pub mod settle;
+pub mod store;
 pub mod table;
