jobs: runs on servers that the registry has dropped count until their leases have passed

Ruled out: late orders (the first run had been started 8 s before). Change: such runs stay until the longest lease that an earlier scheduler may have renewed. Test: test_takeover (both cases failed before).

--- a/lib/host/src/reign.rs
+++ b/lib/host/src/reign.rs
@@ -54,9 +54,6 @@
 /// Bytes of progress in one transaction; the store takes a megabyte in base64.
 const COMMIT_MAX_BYTES: usize = 600_000;
 
-/// How long leases of backend servers are renewed beyond the own lease, while the store is away.
-const HOLD_ON: Duration = Duration::from_millis(5_000);
-
 /// What scheduling needs of its surroundings.
 #[derive(Clone)]
 pub struct Surroundings {
@@ -309,7 +306,8 @@
     /// Renews the lease of one backend server and takes in what it lists, until it is gone.
     async fn hold(self: Arc<Self>, server: id::BackendServerId) {
         while !self.is_over() {
-            if self.since_confirmed() > leadership::HOLDER_LEASE + HOLD_ON {
+            let hold_on = Duration::from_millis(self.around.settings.hold_on_ms);
+            if self.since_confirmed() > leadership::HOLDER_LEASE + hold_on {
                 self.around.clock.sleep(HOLD_RETRY).await;
                 continue;
             }
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -12,7 +12,7 @@
 use crate::placement::{Board, Demand, Slot};
 use crate::preemption::{self, Claim, Victim};
 use crate::progress::{JobState, TaskState};
-use crate::server::Server;
+use crate::server::{self, Server};
 
 /// Longest time that a start order without an answer is sent again before the run is stopped.
 const START_TRIES_MS: u64 = 1_600;
@@ -103,17 +103,26 @@
 
     /// Counts runs as gone on servers that are silent and whose leases have passed.
     fn lose_lapsed(&mut self, now: Now) {
-        let lease_max_ms = self.settings.lease_max_ms;
-        let lapsed: Vec<id::BackendServerId> = self
+        let settings = self.settings;
+        let mut lapsed: Vec<id::BackendServerId> = self
             .servers
             .values()
             .filter(|server| {
                 let is_occupied = server.used != job::Resources::default();
-                let has_left = !server.is_listed && server.entry.is_draining;
-                is_occupied && (has_left || now.ms > server.lapse_ms(lease_max_ms))
+                is_occupied && now.ms > server.lapse_ms(&settings)
             })
             .map(|server| server.entry.id.clone())
             .collect();
+        let unheard: Vec<id::BackendServerId> = self
+            .unregistered
+            .iter()
+            .filter(|(_, since_ms)| now.ms > server::unheard_lapse_ms(**since_ms, &settings))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unheard {
+            self.unregistered.remove(&id);
+            lapsed.push(id);
+        }
         for id in lapsed {
             let runs = self.runs_on(&id);
             self.notes.push(Note::Server {
@@ -200,7 +209,7 @@
             let key = (is_worthless, job.accepted.terms.priority, job.accepted_ms);
             queue.extend(units.into_iter().map(|unit| (key, job.id.clone(), unit)));
         }
-        queue.sort_by(|a, b| a.0.cmp(&b.0));
+        queue.sort_by_key(|a| a.0);
         queue.into_iter().map(|(_, id, unit)| (id, unit)).collect()
     }
 
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -66,6 +66,8 @@
     pub(crate) closed: BTreeMap<id::JobId, u64>,
     pub(crate) early_cancels: BTreeMap<id::JobId, u64>,
     pub(crate) servers: BTreeMap<id::BackendServerId, server::Server>,
+    /// Servers with recorded runs that the registry does not list, and since when.
+    pub(crate) unregistered: BTreeMap<id::BackendServerId, u64>,
     pub(crate) health: health::Health,
     pub(crate) claims: Claims,
     pub(crate) orders: Vec<Order>,
@@ -93,10 +95,9 @@
             return;
         }
         for job in self.jobs.values_mut() {
-            match terms.queue(&job.accepted.queue) {
-                Some(queue) => job.accepted.terms = queue.job_terms.clone(),
-                // Jobs of a removed queue go on under the terms at their acceptance.
-                None => {}
+            // Jobs of a removed queue go on under the terms at their acceptance.
+            if let Some(queue) = terms.queue(&job.accepted.queue) {
+                job.accepted.terms = queue.job_terms.clone();
             }
         }
         self.terms = terms;
@@ -126,7 +127,11 @@
                         belief: "registered",
                         runs: 0,
                     });
-                    let server = server::Server::new(entry.clone(), now.ms);
+                    let since_ms = self.unregistered.remove(&entry.id).unwrap_or(now.ms);
+                    let mut server = server::Server::new(entry.clone(), since_ms);
+                    for (job, index) in self.runs_on(&entry.id) {
+                        server.used = server.used.plus(&self.jobs[&job].runs[&index].need);
+                    }
                     self.servers.insert(entry.id, server);
                 }
             }
@@ -190,21 +195,20 @@
             .collect();
         for (index, run, on) in started {
             let need = job.step(index).need;
-            let known = on.filter(|on| self.servers.contains_key(on));
-            match known {
-                Some(on) => {
-                    if let Some(server) = self.servers.get_mut(&on) {
-                        server.used = server.used.plus(&need);
-                    }
-                    job.runs
-                        .insert(index, LiveRun::inherited(on, run, need, now.ms));
-                }
-                // The registry has dropped it: it is gone.
+            let Some(on) = on else {
+                job.progress.task_mut(index).state = TaskState::Waiting;
+                job.touch();
+                continue;
+            };
+            match self.servers.get_mut(&on) {
+                Some(server) => server.used = server.used.plus(&need),
+                // It may live on behind a network partition, though the registry has dropped it.
                 None => {
-                    job.progress.task_mut(index).state = TaskState::Waiting;
-                    job.touch();
+                    self.unregistered.entry(on.clone()).or_insert(now.ms);
                 }
             }
+            job.runs
+                .insert(index, LiveRun::inherited(on, run, need, now.ms));
         }
     }
 
@@ -302,9 +306,9 @@
 
     /// The next hold of a server; `None` once nothing is expected of it any more.
     pub fn next_hold(&mut self, id: &id::BackendServerId, now: Now) -> Option<HoldOrder> {
-        let lease_max_ms = self.settings.lease_max_ms;
+        let settings = self.settings;
         let server = self.servers.get_mut(id)?;
-        let is_over = !server.is_listed && now.ms > server.lapse_ms(lease_max_ms);
+        let is_over = !server.is_listed && now.ms > server.lapse_ms(&settings);
         if is_over && server.used == job::Resources::default() {
             self.servers.remove(id);
             return None;
@@ -312,7 +316,7 @@
         let is_first = server.clock.is_none();
         let has_unacknowledged = server.ends_seen > server.ends_acknowledged;
         Some(HoldOrder {
-            lease_until_server_ms: server.next_lease(now.ms, lease_max_ms),
+            lease_until_server_ms: server.next_lease(now.ms, settings.lease_max_ms),
             ends_acknowledged: server.ends_acknowledged,
             wait_ms: match is_first || has_unacknowledged {
                 true => 0,
--- a/lib/jobs/src/outcome.rs
+++ b/lib/jobs/src/outcome.rs
@@ -22,11 +22,10 @@
             self.take_end(id, end, now);
             let job = &end.name.task.job;
             let unstored = self.jobs.get(job).filter(|job| job.is_unstored());
-            match (unstored.map(|job| job.generation), self.servers.get_mut(id)) {
-                (Some(generation), Some(server)) => {
-                    server.unstored_ends.insert(job.clone(), generation);
-                }
-                (None, _) | (_, None) => {}
+            if let (Some(generation), Some(server)) =
+                (unstored.map(|job| job.generation), self.servers.get_mut(id))
+            {
+                server.unstored_ends.insert(job.clone(), generation);
             }
         }
         if let Some(server) = self.servers.get_mut(id) {
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -97,17 +97,13 @@
     }
 
     /// When, on our clock, every lease on it has surely passed.
-    pub fn lapse_ms(&self, lease_max_ms: u64) -> u64 {
-        let slow = |server_ms: u64| {
-            (server_ms as f64 / (1.0 - settings::SERVER_CLOCK_DRIFT_RATIO)).ceil() as u64
-        };
+    pub fn lapse_ms(&self, settings: &settings::Settings) -> u64 {
         match self.clock {
             Some(clock) => {
                 let left = self.lease_until_server_ms.saturating_sub(clock.server_ms);
-                clock.at_ms + slow(left) + settings::LAPSE_MARGIN_MS
+                clock.at_ms + on_our_clock(left) + settings::LAPSE_MARGIN_MS
             }
-            // An earlier scheduler may have renewed it until the moment of its end.
-            None => self.known_since_ms + slow(lease_max_ms) + settings::LAPSE_MARGIN_MS,
+            None => unheard_lapse_ms(self.known_since_ms, settings),
         }
     }
 
@@ -121,3 +117,15 @@
         self.speed_samples += 1;
     }
 }
+
+/// The longest that `server_ms` on a backend server's clock takes on ours.
+fn on_our_clock(server_ms: u64) -> u64 {
+    (server_ms as f64 / (1.0 - settings::SERVER_CLOCK_DRIFT_RATIO)).ceil() as u64
+}
+
+/// When every lease has surely passed on a server that has not answered since `since_ms`, though
+/// an earlier scheduler may have renewed it for as long as it may.
+pub fn unheard_lapse_ms(since_ms: u64, settings: &settings::Settings) -> u64 {
+    let lease_ms = on_our_clock(settings.lease_max_ms);
+    since_ms + settings.hold_on_ms + lease_ms + settings::LAPSE_MARGIN_MS
+}
--- /dev/null
+++ b/lib/jobs/tests/test_takeover.rs
@@ -0,0 +1,64 @@
+//! What a scheduler does that takes over from another one.
+
+mod support;
+
+use camphorbeam_jobs::progress::JobState;
+use rstest::rstest;
+use support::{step, World};
+
+#[rstest]
+#[case::server_is_still_registered(true)]
+#[case::registry_has_dropped_the_server(false)]
+fn test_takeover_waits_for_the_leases_of_servers_behind_a_partition(#[case] stays_listed: bool) {
+    let mut world = World::new(2, 2, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(4, 4, 9_000)]);
+    world.run(1_000);
+    assert!(world.running_on("s0-0") > 0);
+    if stays_listed {
+        world.register();
+    }
+    world.server("s0-0").is_cut = true;
+    world.server("s0-1").is_cut = true;
+    if !stays_listed {
+        world.register();
+    }
+    world.run(3_000);
+    world.take_over();
+    world.run(30_000);
+    assert_eq!(world.state(&job), JobState::Completed);
+    world.assert_no_task_twice();
+}
+
+#[test]
+fn test_takeover_goes_on_with_what_runs() {
+    let mut world = World::new(1, 2, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(4, 4, 5_000)]);
+    world.run(2_000);
+    world.take_over();
+    world.run(4_000);
+    assert_eq!(world.state(&job), JobState::Completed);
+    assert_eq!(world.seen.len(), 4, "{:?}", world.seen);
+}
+
+#[test]
+fn test_takeover_runs_again_what_a_crash_took() {
+    let mut world = World::new(1, 2, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(4, 4, 5_000)]);
+    world.run(2_000);
+    world.crash("s0-0");
+    world.take_over();
+    assert!(world.run_until(9_000, |world| world.state(&job) == JobState::Completed));
+    world.assert_no_task_twice();
+}
+
+#[test]
+fn test_takeover_stops_a_cancelled_job() {
+    let mut world = World::new(1, 2, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(4, 4, 50_000)]);
+    world.run(1_000);
+    world.take_over();
+    world.cancel(&job);
+    world.run(1_500);
+    assert_eq!(world.state(&job), JobState::Cancelled);
+    assert_eq!(world.running_on("s0-0") + world.running_on("s0-1"), 0);
+}
