jobs: silent servers get no longer lease; speeds are learned by comparison

Each hold without an answer was counted as a renewal, so the lease of a dead server never passed. Change: a server silent for 2 s is asked without a longer lease.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -27,6 +27,18 @@
 /// Estimate below which a task counts as short.
 const SHORT_TASK_MS: u64 = 5_000;
 
+/// Speed, relative to estimates, below which urgent work would miss its objective.
+const URGENT_SPEED_MIN_RATIO: f64 = 0.78;
+
+/// Speed below which a server is avoided by all work, and left if that pays.
+const CRAWLING_RATIO: f64 = 0.4;
+
+/// Time of work after which a run on a crawling server may be moved.
+const CRAWL_MIN_MS: u64 = 2_500;
+
+/// A run is moved if what is left takes that many times its whole work elsewhere.
+const CRAWL_MOVE_RATIO: f64 = 1.5;
+
 /// How long a server on which a task stalls gets no work.
 const STALL_PAUSE_MS: u64 = 6_000;
 
@@ -51,6 +63,7 @@
         self.retry_orders(now);
         self.lose_lapsed(now);
         self.stop_stalled(now);
+        self.move_crawling(now);
         self.place_all(now);
     }
 
@@ -173,6 +186,35 @@
         }
     }
 
+    /// Stops runs on servers that have turned slow, if they finish sooner elsewhere.
+    fn move_crawling(&mut self, now: Now) {
+        let mut moved: Vec<(id::JobId, job::TaskIndex)> = Vec::new();
+        for job in self.jobs.values() {
+            for (index, live) in &job.runs {
+                let Phase::Present { since_ms } = live.phase else {
+                    continue;
+                };
+                let step = job.step(*index);
+                let speed_ratio = self.speeds.ratio(&live.server);
+                let worked_ms = now.ms.saturating_sub(since_ms);
+                let is_crawling = speed_ratio < CRAWLING_RATIO && worked_ms > CRAWL_MIN_MS;
+                if !is_crawling || step.is_lasting {
+                    continue;
+                }
+                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
+                if left / speed_ratio > CRAWL_MOVE_RATIO {
+                    moved.push((job.id.clone(), *index));
+                }
+            }
+        }
+        for (id, index) in moved {
+            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
+            for member in members {
+                self.want_stop(&id, member, "server has turned slow", now);
+            }
+        }
+    }
+
     fn board(&self, now: Now) -> Board {
         let slots = self
             .servers
@@ -185,7 +227,7 @@
                 rack: server.entry.rack().cloned(),
                 capacity: server.entry.capacity,
                 free: server.free(),
-                speed_ratio: server.speed_ratio,
+                speed_ratio: self.speeds.ratio(&server.entry.id),
                 is_suspect: self.health.is_suspect(&server.entry.id),
             })
             .collect();
@@ -234,17 +276,29 @@
                 let demand = self.demand(&id, unit, &guaranteed, now);
                 board.choose(&demand)
             };
-            match choice {
+            if let Some(choice) = choice {
+                self.start_unit(&id, unit, &choice, &mut board, now);
+                continue;
+            }
+            let is_urgent = self.jobs[&id].accepted.terms.priority == 0;
+            let waited_ms = now.ms.saturating_sub(self.jobs[&id].accepted_ms);
+            if is_urgent && waited_ms >= PREEMPT_PATIENCE_MS {
+                let known = victims.get_or_insert_with(|| self.victims(&board, now));
+                let known = std::mem::take(known);
+                let kept = self.preempt(&id, unit, &mut board, known, &guaranteed, now);
+                victims = Some(kept);
+            }
+            let any_speed = match self.claims.contains_key(&(id.clone(), unit)) {
+                true => None,
+                false => {
+                    let mut demand = self.demand(&id, unit, &guaranteed, now);
+                    demand.speed_min_ratio = 0.0;
+                    board.choose(&demand)
+                }
+            };
+            match any_speed {
                 Some(choice) => self.start_unit(&id, unit, &choice, &mut board, now),
                 None => {
-                    let is_urgent = self.jobs[&id].accepted.terms.priority == 0;
-                    let waited_ms = now.ms.saturating_sub(self.jobs[&id].accepted_ms);
-                    if is_urgent && waited_ms >= PREEMPT_PATIENCE_MS {
-                        let known = victims.get_or_insert_with(|| self.victims(&board, now));
-                        let known = std::mem::take(known);
-                        let kept = self.preempt(&id, unit, &mut board, known, &guaranteed, now);
-                        victims = Some(kept);
-                    }
                     hopeless.insert(step);
                 }
             }
@@ -357,6 +411,10 @@
             service: &job.accepted.terms.service,
             count: unit.count,
             is_urgent: job.accepted.terms.priority == 0,
+            speed_min_ratio: match job.accepted.terms.priority {
+                0 => URGENT_SPEED_MIN_RATIO,
+                _ => CRAWLING_RATIO,
+            },
             avoided,
             present,
             may_spread,
@@ -393,7 +451,8 @@
             if let Some(known) = self.servers.get_mut(&server) {
                 known.used = known.used.plus(&need);
             }
-            let live = LiveRun::recorded(server, run, need, generation);
+            let mut live = LiveRun::recorded(server, run, need, generation);
+            live.is_resumed = !job.progress.task(index).checkpoint.is_empty();
             job.runs.insert(index, live);
             board.take(place, &need);
         }
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -12,7 +12,7 @@
 };
 use crate::preemption::Claims;
 use crate::progress::{JobState, Progress, TaskState};
-use crate::{health, open_job, server, settings};
+use crate::{health, open_job, server, settings, speeds};
 
 /// Time after which an order without an answer is sent again.
 pub(crate) const ORDER_RETRY_MS: u64 = 500;
@@ -69,6 +69,7 @@
     /// Servers with recorded runs that the registry does not list, and since when.
     pub(crate) unregistered: BTreeMap<id::BackendServerId, u64>,
     pub(crate) health: health::Health,
+    pub(crate) speeds: speeds::Speeds,
     pub(crate) claims: Claims,
     pub(crate) orders: Vec<Order>,
     pub(crate) notes: Vec<Note>,
@@ -411,8 +412,7 @@
         let server = live.server.clone();
         match (outcome, live.phase) {
             (StartOutcome::Present, Phase::Ordered { .. }) => {
-                live.phase = Phase::Present { since_ms: now.ms };
-                live.progress_ms = now.ms;
+                live.become_present(now.ms);
                 self.begin(id);
             }
             (StartOutcome::Unknown { .. }, Phase::Ordered { since_ms, .. }) => {
@@ -580,6 +580,7 @@
         if let Some(job) = self.jobs.remove(id) {
             self.closed.insert(id.clone(), job.progress.ended_unix_ms);
             self.health.forget(id);
+            self.speeds.forget(id);
         }
     }
 
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod progress;
 pub mod server;
 pub mod settings;
+pub mod speeds;
--- a/lib/jobs/src/live.rs
+++ b/lib/jobs/src/live.rs
@@ -49,8 +49,12 @@
     pub percent: u32,
     /// When `percent` last rose, or when the run became present.
     pub progress_ms: u64,
-    /// First known progress: percent and time.
-    pub first_progress: Option<(u32, u64)>,
+    /// Whether it goes on from a checkpoint.
+    pub is_resumed: bool,
+    /// When it became present, if it began its work then and not from a checkpoint.
+    pub began_ms: Option<u64>,
+    /// When its speed was last observed.
+    pub observed_ms: u64,
 }
 
 impl LiveRun {
@@ -68,7 +72,9 @@
             need,
             percent: 0,
             progress_ms: 0,
-            first_progress: None,
+            is_resumed: false,
+            began_ms: None,
+            observed_ms: 0,
         }
     }
 
@@ -86,6 +92,14 @@
         }
     }
 
+    /// Notes that it is there and begins its work.
+    pub fn become_present(&mut self, now_ms: u64) {
+        self.phase = Phase::Present { since_ms: now_ms };
+        self.progress_ms = now_ms;
+        self.observed_ms = now_ms;
+        self.began_ms = (!self.is_resumed).then_some(now_ms);
+    }
+
     /// Whether it works or is about to, and nobody has asked for its end.
     pub fn is_wanted(&self) -> bool {
         matches!(
--- a/lib/jobs/src/outcome.rs
+++ b/lib/jobs/src/outcome.rs
@@ -42,7 +42,9 @@
         if !is_current {
             return;
         }
-        self.learn_from_end(on, id, index, end, now);
+        if end.kind == EndKind::Done {
+            self.learn_speed(id, index, 100.0, now);
+        }
         self.keep_checkpoint(id, index, end);
         match end.kind {
             EndKind::Done => self.task_done(on, id, index, now),
@@ -67,29 +69,34 @@
         job.touch();
     }
 
-    fn learn_from_end(
-        &mut self,
-        on: &id::BackendServerId,
-        id: &id::JobId,
-        index: job::TaskIndex,
-        end: &EndEntry,
-        now: Now,
-    ) {
-        let job = &self.jobs[id];
-        let live = &job.runs[&index];
+    /// Learns the speed of a server from a task that it has carried to `percent`.
+    fn learn_speed(&mut self, id: &id::JobId, index: job::TaskIndex, percent: f64, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let unit = job.unit_of(index);
         let estimate_ms = job.step(index).estimate_ms;
-        let span = live.first_progress.map(|(percent, at_ms)| {
-            let share = f64::from(100_u32.saturating_sub(percent)) / 100.0;
-            (share, now.ms.saturating_sub(at_ms))
-        });
-        match (end.kind, span, self.servers.get_mut(on)) {
-            (EndKind::Done, Some((share, took_ms)), Some(server))
-                if share >= SPEED_SHARE_MIN && took_ms > 0 =>
-            {
-                server.learn_speed(share * estimate_ms as f64 / took_ms as f64);
-            }
-            _ => {}
+        let Some(live) = job.runs.get(&index) else {
+            return;
+        };
+        let on = live.server.clone();
+        let Some(began_ms) = live.began_ms else {
+            return;
+        };
+        // The members of a gang wait for each other: only one on a single server tells its speed.
+        let runs = &job.runs;
+        let is_alone = unit
+            .members()
+            .all(|member| runs.get(&member).is_none_or(|other| other.server == on));
+        let took_ms = now.ms.saturating_sub(began_ms);
+        if !is_alone || estimate_ms == 0 || took_ms < OBSERVED_MIN_MS {
+            return;
+        }
+        let ratio = percent / 100.0 * estimate_ms as f64 / took_ms as f64;
+        if let Some(live) = job.runs.get_mut(&index) {
+            live.observed_ms = now.ms;
         }
+        self.speeds.observe(id, index.step, &on, ratio);
     }
 
     fn task_done(
@@ -225,14 +232,15 @@
             if entry.percent > live.percent {
                 live.percent = entry.percent;
                 live.progress_ms = now.ms;
-                live.first_progress.get_or_insert((entry.percent, now.ms));
             }
+            let is_observable = matches!(live.phase, Phase::Present { .. })
+                && now.ms >= live.observed_ms + OBSERVED_EVERY_MS;
             if matches!(live.phase, Phase::Ordered { .. }) {
-                live.phase = Phase::Present { since_ms: now.ms };
-                live.progress_ms = now.ms;
+                live.become_present(now.ms);
                 self.begin(id);
-            } else if matches!(live.phase, Phase::Present { .. }) {
+            } else if is_observable {
                 self.begin(id);
+                self.learn_speed(id, index, f64::from(entry.percent) + HALF_PERCENT, now);
             }
         }
         for (id, index) in self.runs_on(on) {
@@ -253,5 +261,11 @@
     }
 }
 
-/// Share of a task's work that must have been watched for a sample of its server's speed.
-const SPEED_SHARE_MIN: f64 = 0.4;
+/// Time of work from which a speed is told from it.
+const OBSERVED_MIN_MS: u64 = 1_200;
+
+/// Time between two observations of one run.
+const OBSERVED_EVERY_MS: u64 = 900;
+
+/// Progress is listed in whole percents, rounded down.
+const HALF_PERCENT: f64 = 0.5;
--- a/lib/jobs/src/placement.rs
+++ b/lib/jobs/src/placement.rs
@@ -5,8 +5,12 @@
 
 use camphorbeam_model::{id, job};
 
-/// Speed, relative to estimates, below which a server is too slow for urgent work.
-const URGENT_SPEED_MIN_RATIO: f64 = 0.8;
+/// Speeds within this ratio of each other count as the same for a gang.
+const SAME_SPEED_RATIO: f64 = 0.78;
+
+/// What leaving a fast server idle for urgent work is worth against packing, for each unit of
+/// speed, in accelerators.
+const FAST_SERVER_COST: f64 = 4.0;
 
 /// What is free on one backend server.
 #[derive(Clone, Debug)]
@@ -40,6 +44,8 @@
     pub count: u32,
     /// Whether it should have a fast server rather than leave it to others.
     pub is_urgent: bool,
+    /// Slowest speed, relative to estimates, that it takes.
+    pub speed_min_ratio: f64,
     /// Servers on which the job has failed.
     pub avoided: BTreeSet<id::BackendServerId>,
     /// Tasks of the same step that each server has already.
@@ -75,7 +81,7 @@
         let groups = self.groups(demand);
         groups
             .into_iter()
-            .filter_map(|group| self.fit(&group, demand))
+            .flat_map(|group| self.fits(&group, demand))
             .min_by(|a, b| {
                 let (a, b) = (self.cost(a, demand), self.cost(b, demand));
                 a.total_cmp(&b)
@@ -125,7 +131,10 @@
             Some(label) => slot.labels.contains(label),
             None => true,
         };
-        &slot.service == demand.service && has_label && !demand.avoided.contains(&slot.server)
+        &slot.service == demand.service
+            && has_label
+            && slot.speed_ratio >= demand.speed_min_ratio
+            && !demand.avoided.contains(&slot.server)
     }
 
     /// Whether the servers of `group`, all empty, would hold the unit.
@@ -158,6 +167,22 @@
             .min(demand.count)
     }
 
+    /// Ways to place the unit in `group`: of a gang, also on servers of like speed alone, since the
+    /// slowest of them sets the pace of all.
+    fn fits(&self, group: &[usize], demand: &Demand<'_>) -> Vec<Choice> {
+        let mut choices: Vec<Choice> = self.fit(group, demand).into_iter().collect();
+        if !demand.step.is_gang || demand.count == 1 {
+            return choices;
+        }
+        let speed = |place: usize| self.slots[place].speed_ratio;
+        let (slow, fast): (Vec<usize>, Vec<usize>) = group
+            .iter()
+            .partition(|&&place| speed(place) < SAME_SPEED_RATIO);
+        choices.extend(self.fit(&slow, demand));
+        choices.extend(self.fit(&fast, demand));
+        choices
+    }
+
     /// Servers of `group` for each task, filling those first that serve best.
     pub fn fit(&self, group: &[usize], demand: &Demand<'_>) -> Option<Choice> {
         let mut order: Vec<(usize, u32)> = group
@@ -194,10 +219,9 @@
         let slot = &self.slots[place];
         let suspect = if slot.is_suspect { 1_000.0 } else { 0.0 };
         let speed = match demand.is_urgent {
-            true if slot.speed_ratio < URGENT_SPEED_MIN_RATIO => 100.0 / slot.speed_ratio.max(0.05),
             true => 0.0,
             // Work with time to spare leaves the fast servers to the urgent.
-            false => 2.0 * slot.speed_ratio.min(2.0),
+            false => FAST_SERVER_COST * slot.speed_ratio.min(2.0),
         };
         let left = slot
             .free
@@ -206,10 +230,20 @@
         suspect + speed + left as f64
     }
 
+    /// What a choice costs: how badly its worst server serves, and how long it holds the others.
     fn cost(&self, choice: &Choice, demand: &Demand<'_>) -> f64 {
-        choice
+        let worst = choice
             .iter()
             .map(|&place| self.slot_cost(place, demand))
-            .fold(0.0, f64::max)
+            .fold(0.0, f64::max);
+        let speeds = || choice.iter().map(|&place| self.slots[place].speed_ratio);
+        let slowest = speeds().fold(f64::INFINITY, f64::min);
+        let held_for_nothing: f64 = speeds().map(|speed| speed / slowest - 1.0).sum();
+        let mixed = held_for_nothing * demand.step.need.accelerators.max(1) as f64;
+        let slow = match demand.is_urgent {
+            true => demand.step.need.accelerators as f64 / slowest,
+            false => 0.0,
+        };
+        worst + mixed + slow
     }
 }
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -18,8 +18,8 @@
 /// Silence after which a backend server gets no new work. A hold is answered each second.
 const SILENCE_MAX_MS: u64 = 2_500;
 
-/// Weight of a new speed sample.
-const SPEED_SAMPLE_WEIGHT: f64 = 0.3;
+/// Silence after which the lease of a backend server is not renewed before it has answered.
+const RENEWAL_SILENCE_MAX_MS: u64 = 2_000;
 
 /// A backend server.
 #[derive(Clone, Debug)]
@@ -48,10 +48,6 @@
     pub used: job::Resources,
     /// Until when it counts as full after it refused a task for want of room.
     pub full_until_ms: u64,
-    /// Speed relative to what callers estimate.
-    pub speed_ratio: f64,
-    /// Number of samples in `speed_ratio`.
-    pub speed_samples: u32,
 }
 
 impl Server {
@@ -70,8 +66,6 @@
             unstored_ends: BTreeMap::new(),
             used: job::Resources::default(),
             full_until_ms: 0,
-            speed_ratio: 1.0,
-            speed_samples: 0,
         }
     }
 
@@ -88,12 +82,15 @@
         self.is_listed && !self.entry.is_draining && is_heard && now_ms >= self.full_until_ms
     }
 
-    /// The lease to send now, on the server's clock.
+    /// The lease to send now, on the server's clock. A silent server gets no longer one than it may
+    /// have already, so that the time at which its leases have passed comes nearer.
     pub fn next_lease(&mut self, now_ms: u64, lease_max_ms: u64) -> Option<u64> {
         let clock = self.clock?;
-        let until = clock.server_ms + now_ms.saturating_sub(clock.at_ms) + lease_max_ms;
-        self.lease_until_server_ms = self.lease_until_server_ms.max(until);
-        Some(until)
+        if now_ms.saturating_sub(clock.at_ms) < RENEWAL_SILENCE_MAX_MS {
+            let until = clock.server_ms + now_ms.saturating_sub(clock.at_ms) + lease_max_ms;
+            self.lease_until_server_ms = self.lease_until_server_ms.max(until);
+        }
+        Some(self.lease_until_server_ms)
     }
 
     /// When, on our clock, every lease on it has surely passed.
@@ -106,16 +103,6 @@
             None => unheard_lapse_ms(self.known_since_ms, settings),
         }
     }
-
-    /// Takes in how fast a task ran here, relative to its estimate.
-    pub fn learn_speed(&mut self, sample_ratio: f64) {
-        let weight = match self.speed_samples {
-            0 => 1.0,
-            _ => SPEED_SAMPLE_WEIGHT,
-        };
-        self.speed_ratio += weight * (sample_ratio - self.speed_ratio);
-        self.speed_samples += 1;
-    }
 }
 
 /// The longest that `server_ms` on a backend server's clock takes on ours.
--- /dev/null
+++ b/lib/jobs/tests/test_lost_server.rs
@@ -0,0 +1,45 @@
+//! Servers that go away without a word.
+
+mod support;
+
+use camphorbeam_jobs::progress::JobState;
+use support::{step, World};
+
+/// Longest time after a server has died until its tasks start elsewhere: 2 s in which renewals may
+/// still have reached it, the longest lease of 6 s on a clock that is 2% slow, and 0.5 s of margins.
+const RESTART_LIMIT_MS: u64 = 2_000 + 6_130 + 500;
+
+#[test]
+fn test_lost_server_tasks_run_elsewhere_once_their_lease_has_passed() {
+    let mut world = World::new(1, 4, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(2, 8, 4_000)]);
+    world.run(1_000);
+    world.server("s0-0").is_cut = true;
+    let on_time = world.run_until(RESTART_LIMIT_MS + 4_000, |world| {
+        world.state(&job) == JobState::Completed
+    });
+    assert!(on_time, "{:?}", world.seen);
+    world.assert_no_task_twice();
+}
+
+#[test]
+fn test_lost_server_that_comes_back_in_time_keeps_its_tasks() {
+    let mut world = World::new(1, 4, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(2, 8, 8_000)]);
+    world.run(1_000);
+    world.server("s0-0").is_cut = true;
+    world.run(4_500);
+    world.server("s0-0").is_cut = false;
+    assert!(world.run_until(4_000, |world| world.state(&job) == JobState::Completed));
+    assert_eq!(world.seen.len(), 2, "{:?}", world.seen);
+}
+
+#[test]
+fn test_lost_server_that_starts_anew_has_lost_its_tasks() {
+    let mut world = World::new(1, 4, 0);
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(2, 8, 4_000)]);
+    world.run(1_000);
+    world.crash("s0-0");
+    assert!(world.run_until(5_000, |world| world.state(&job) == JobState::Completed));
+    world.assert_no_task_twice();
+}
