--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -27,7 +27,7 @@
 /// Estimate below which a task counts as short.
 const SHORT_TASK_MS: u64 = 5_000;
 
-/// Speed, relative to estimates, below which urgent work would miss its objective.
+/// Speed, relative to the median, below which urgent work would miss its objective.
 const URGENT_SPEED_MIN_RATIO: f64 = 0.78;
 
 /// Speed below which a server is avoided by all work, and left if that pays.
@@ -52,7 +52,7 @@
 const CLAIM_MARGIN_MS: u64 = 700;
 
 /// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
-const PREEMPT_LOSS_RATIO: f64 = 0.7;
+const PREEMPT_LOSS_RATIO: f64 = 0.35;
 
 /// Objectives after which a job earns its caller nothing.
 const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
@@ -188,6 +188,7 @@
 
     /// Stops runs on servers that have turned slow, if they finish sooner elsewhere.
     fn move_crawling(&mut self, now: Now) {
+        let median = self.speeds.median(self.servers.keys());
         let mut moved: Vec<(id::JobId, job::TaskIndex)> = Vec::new();
         for job in self.jobs.values() {
             for (index, live) in &job.runs {
@@ -195,7 +196,7 @@
                     continue;
                 };
                 let step = job.step(*index);
-                let speed_ratio = self.speeds.ratio(&live.server);
+                let speed_ratio = self.speeds.ratio(&live.server) / median;
                 let worked_ms = now.ms.saturating_sub(since_ms);
                 let is_crawling = speed_ratio < CRAWLING_RATIO && worked_ms > CRAWL_MIN_MS;
                 if !is_crawling || step.is_lasting {
@@ -216,6 +217,7 @@
     }
 
     fn board(&self, now: Now) -> Board {
+        let median = self.speeds.median(self.servers.keys());
         let slots = self
             .servers
             .values()
@@ -227,7 +229,7 @@
                 rack: server.entry.rack().cloned(),
                 capacity: server.entry.capacity,
                 free: server.free(),
-                speed_ratio: self.speeds.ratio(&server.entry.id),
+                speed_ratio: self.speeds.ratio(&server.entry.id) / median,
                 is_suspect: self.health.is_suspect(&server.entry.id),
             })
             .collect();
@@ -519,7 +521,9 @@
         let need = step.need;
         let served_core_s =
             preemption::core_seconds(&need, step.estimate_ms) * f64::from(unit.count);
-        let is_owed = guaranteed.contains(&job.accepted.account);
+        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+        let is_owed =
+            guaranteed.contains(&job.accepted.account) && 2 * waited_ms > self.settings.reclaim_ms;
         let plan = {
             let demand = self.demand(id, unit, guaranteed, now);
             preemption::plan(board, &demand, &victims)
--- a/lib/jobs/src/placement.rs
+++ b/lib/jobs/src/placement.rs
@@ -27,7 +27,7 @@
     pub capacity: job::Resources,
     /// What is free and not promised to another unit.
     pub free: job::Resources,
-    /// Speed relative to estimates.
+    /// Speed relative to the median of all servers.
     pub speed_ratio: f64,
     /// Whether a failure stands against it.
     pub is_suspect: bool,
@@ -44,7 +44,7 @@
     pub count: u32,
     /// Whether it should have a fast server rather than leave it to others.
     pub is_urgent: bool,
-    /// Slowest speed, relative to estimates, that it takes.
+    /// Slowest speed, relative to the median, that it takes.
     pub speed_min_ratio: f64,
     /// Servers on which the job has failed.
     pub avoided: BTreeSet<id::BackendServerId>,
--- a/lib/jobs/src/speeds.rs
+++ b/lib/jobs/src/speeds.rs
@@ -34,6 +34,14 @@
         self.log_ratios.get(server).copied().unwrap_or(0.0)
     }
 
+    /// The median speed of `servers`, against which one of them is fast or slow. Estimates may all
+    /// be off by the same factor.
+    pub fn median<'a>(&self, servers: impl Iterator<Item = &'a id::BackendServerId>) -> f64 {
+        let mut ratios: Vec<f64> = servers.map(|server| self.ratio(server)).collect();
+        ratios.sort_by(f64::total_cmp);
+        ratios.get(ratios.len() / 2).copied().unwrap_or(1.0)
+    }
+
     /// Takes in that a task of `step` did its work on `server` at `ratio` of the estimated speed.
     pub fn observe(
         &mut self,
