jobs: room is kept free for urgent work by its mean use and deviation

Ruled out: stalls and slow servers (44 stops). Change: work that can't checkpoint does not take the accelerators that urgent jobs used on average over 8 s plus 0.8 deviations.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -31,7 +31,7 @@
 const URGENT_SPEED_MIN_RATIO: f64 = 0.78;
 
 /// Speed below which a server is avoided by all work, and left if that pays.
-const CRAWLING_RATIO: f64 = 0.4;
+const CRAWLING_RATIO: f64 = 0.3;
 
 /// Time of work after which a run on a crawling server may be moved.
 const CRAWL_MIN_MS: u64 = 2_500;
@@ -259,6 +259,8 @@
 
     fn place_all(&mut self, now: Now) {
         let queue = self.queue(now);
+        let urgent = self.urgent_accelerators(&queue);
+        self.headroom.update(now.ms, urgent);
         self.drop_claims(&queue, now);
         if queue.is_empty() {
             return;
@@ -267,6 +269,12 @@
         self.place_claims(&mut board, now);
         let mut hopeless: BTreeSet<(id::JobId, u32, u32)> = BTreeSet::new();
         let guaranteed = self.guaranteed_accounts();
+        let total: u64 = board
+            .slots
+            .iter()
+            .map(|slot| slot.capacity.accelerators)
+            .sum();
+        let free_min = self.headroom.free_min(urgent, total);
         let mut victims: Option<Vec<Victim>> = None;
         for (id, unit) in queue {
             let step = (id.clone(), unit.first.occurrence, unit.first.step);
@@ -278,6 +286,10 @@
                 let demand = self.demand(&id, unit, &guaranteed, now);
                 board.choose(&demand)
             };
+            if choice.is_some() && self.takes_headroom(&id, unit, &board, free_min) {
+                hopeless.insert(step);
+                continue;
+            }
             if let Some(choice) = choice {
                 self.start_unit(&id, unit, &choice, &mut board, now);
                 continue;
@@ -307,6 +319,33 @@
         }
     }
 
+    /// Accelerators that urgent jobs use or wait for.
+    fn urgent_accelerators(&self, queue: &[(id::JobId, Unit)]) -> u64 {
+        let urgent = |job: &&OpenJob| job.accepted.terms.priority == 0;
+        let used = self
+            .jobs
+            .values()
+            .filter(urgent)
+            .flat_map(|job| job.runs.values());
+        let waiting = queue.iter().filter_map(|(id, unit)| {
+            let job = self.jobs.get(id).filter(urgent)?;
+            Some(u64::from(unit.count) * job.step(unit.first).need.accelerators)
+        });
+        used.map(|live| live.need.accelerators).sum::<u64>() + waiting.sum::<u64>()
+    }
+
+    /// Whether a unit would take room that is kept for urgent work. What loses little when it is
+    /// stopped may have it.
+    fn takes_headroom(&self, id: &id::JobId, unit: Unit, board: &Board, free_min: u64) -> bool {
+        let job = &self.jobs[id];
+        let step = job.step(unit.first);
+        if job.accepted.terms.priority == 0 || step.is_checkpointing {
+            return false;
+        }
+        let free: u64 = board.slots.iter().map(|slot| slot.free.accelerators).sum();
+        free < free_min + u64::from(unit.count) * step.need.accelerators
+    }
+
     fn is_waiting(&self, id: &id::JobId, unit: Unit) -> bool {
         self.jobs.get(id).is_some_and(|job| {
             unit.members().all(|index| {
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -12,7 +12,7 @@
 };
 use crate::preemption::Claims;
 use crate::progress::{JobState, Progress, TaskState};
-use crate::{health, open_job, server, settings, speeds};
+use crate::{headroom, health, open_job, server, settings, speeds};
 
 /// Time after which an order without an answer is sent again.
 pub(crate) const ORDER_RETRY_MS: u64 = 500;
@@ -70,6 +70,7 @@
     pub(crate) unregistered: BTreeMap<id::BackendServerId, u64>,
     pub(crate) health: health::Health,
     pub(crate) speeds: speeds::Speeds,
+    pub(crate) headroom: headroom::Headroom,
     pub(crate) claims: Claims,
     pub(crate) orders: Vec<Order>,
     pub(crate) notes: Vec<Note>,
--- /dev/null
+++ b/lib/jobs/src/headroom.rs
@@ -0,0 +1,44 @@
+//! How many accelerators are kept free for urgent work.
+//!
+//! Work that is stopped for an urgent job is thrown away unless it can checkpoint. Where urgent
+//! jobs come in a steady stream, leaving room for the next ones costs less.
+
+/// Time over which the use by urgent work is averaged.
+const AVERAGED_MS: f64 = 8_000.0;
+
+/// Standard deviations above the mean use that are kept for urgent work.
+const DEVIATIONS: f64 = 0.8;
+
+/// Largest share of all accelerators that is kept free.
+const SHARE_MAX: f64 = 0.25;
+
+/// The use of accelerators by urgent work, averaged over the last seconds.
+#[derive(Clone, Debug, Default)]
+pub struct Headroom {
+    mean: f64,
+    mean_square: f64,
+    updated_ms: Option<u64>,
+}
+
+impl Headroom {
+    /// Takes in how many accelerators urgent jobs use or wait for.
+    pub fn update(&mut self, now_ms: u64, accelerators: u64) {
+        let used = accelerators as f64;
+        let elapsed_ms = match self.updated_ms {
+            Some(updated_ms) => now_ms.saturating_sub(updated_ms) as f64,
+            None => 0.0,
+        };
+        let weight = 1.0 - (-elapsed_ms / AVERAGED_MS).exp();
+        self.mean += weight * (used - self.mean);
+        self.mean_square += weight * (used * used - self.mean_square);
+        self.updated_ms = Some(now_ms);
+    }
+
+    /// Accelerators to keep free, of `total`, while urgent jobs use `accelerators`.
+    pub fn free_min(&self, accelerators: u64, total: u64) -> u64 {
+        let variance = (self.mean_square - self.mean * self.mean).max(0.0);
+        let expected = self.mean + DEVIATIONS * variance.sqrt();
+        let wanted = expected - accelerators as f64;
+        wanted.clamp(0.0, SHARE_MAX * total as f64) as u64
+    }
+}
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod decide;
 pub mod engine;
+pub mod headroom;
 pub mod health;
 pub mod live;
 pub mod note;
--- a/lib/jobs/src/outcome.rs
+++ b/lib/jobs/src/outcome.rs
@@ -5,6 +5,7 @@
 use crate::engine::{Engine, Now, Order};
 use crate::live::Phase;
 use crate::note::Note;
+use crate::open_job::OpenJob;
 use crate::orders::{EndEntry, EndKind, HoldReply};
 use crate::progress::{JobState, TaskState};
 
@@ -187,7 +188,11 @@
 
     /// Counts a run as gone that nobody has listed as ended.
     pub(crate) fn lose(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
-        self.run_over(id, index, "lost", now);
+        let is_done = |job: &OpenJob| job.progress.task_state(index) == TaskState::Done;
+        match self.jobs.get(id).is_some_and(is_done) {
+            true => self.resolve(id, index),
+            false => self.run_over(id, index, "lost", now),
+        }
         self.close_if_over(id);
     }
 
