jobs: urgent jobs wait for a server that is fast enough; gang members teach speeds

Cause: urgent jobs fell back to slow servers at their first decision. Change: the speed that a job needs follows from what is left of its objective; it waits for such a server while it can be in time, and preempts only then.

--- a/lib/jobs/tests/support/mod.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -1,6 +1,8 @@
 //! A model of backend servers that is driven by hand, so that the engine's decisions can be
 //! watched over a simulated time without any I/O.
-#![allow(dead_code)]
+
+pub mod load;
+pub mod report;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -22,18 +24,50 @@
 /// Time that a modelled server takes to end a stopped run.
 const STOP_TAKES_MS: u64 = 400;
 
+/// Service.
 pub const SERVICE: &str = "svc";
+/// Urgent.
 pub const URGENT: &str = "urgent";
+/// Normal.
 pub const NORMAL: &str = "normal";
+/// Batch.
 pub const BATCH: &str = "batch";
 
+/// Time that a run needs to go on from a checkpoint.
+const RESTORE_MS: u64 = 600;
+
+/// Work after which a checkpoint is made.
+const CHECKPOINT_EVERY_MS: f64 = 1_000.0;
+
+/// How much longer a task takes away from its data, or in a gang on several racks.
+const FAR_RATIO: f64 = 3.0;
+
+/// Cores that one accelerator counts for when lost work is counted.
+const CORES_PER_ACCELERATOR: f64 = 8.0;
+
 struct Run {
     percent: f64,
+    saved_percent: f64,
+    restored_ms: u64,
+    worked_ms: f64,
+    unsaved_ms: f64,
     stop_at_ms: Option<u64>,
 }
 
+/// What a job really is, beside what its caller states.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// Run time of each task on a server of speed 1 near its data; estimates hold where absent.
+    pub work_ms: BTreeMap<job::TaskIndex, u64>,
+    /// Whether its tasks fail wherever they run.
+    pub is_hopeless: bool,
+}
+
+/// A modelled backend server.
 pub struct ModelServer {
+    /// What it registers.
     pub entry: fleet::ServerEntry,
+    /// Changes with each crash.
     pub life: u64,
     /// Unreachable from the scheduler; it runs on.
     pub is_cut: bool,
@@ -52,27 +86,46 @@
 /// One run of a task, as the servers saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
+    /// Name.
     pub name: RunName,
+    /// Server.
     pub server: String,
+    /// From ms.
     pub from_ms: u64,
+    /// To ms.
     pub to_ms: Option<u64>,
+    /// End.
     pub end: Option<EndKind>,
 }
 
+/// World.
 pub struct World {
+    /// Engine.
     pub engine: Engine,
+    /// Now ms.
     pub now_ms: u64,
+    /// Servers.
     pub servers: BTreeMap<String, ModelServer>,
+    /// Accepted.
     pub accepted: BTreeMap<id::JobId, job::AcceptedJob>,
+    /// Stored.
     pub stored: BTreeMap<id::JobId, (Progress, u64)>,
+    /// Seen.
     pub seen: Vec<Seen>,
+    /// Is store away.
     pub is_store_away: bool,
+    /// When the completion of a job was stored.
     pub completed_ms: BTreeMap<id::JobId, u64>,
+    /// What jobs really are.
+    pub truths: BTreeMap<id::JobId, Truth>,
+    /// Core-seconds of work that was thrown away.
+    pub lost_core_s: f64,
     terms: Arc<terms::Terms>,
     settings: Settings,
     version: u64,
 }
 
+/// Account.
 pub fn account(name: &str) -> id::ClientAccountName {
     id::ClientAccountName::new(name).unwrap()
 }
@@ -82,8 +135,8 @@
         service: id::ServiceName::new(SERVICE).unwrap(),
         priority,
         attempts_max: 3,
-        objective_ratio: 3.0,
-        objective_extra_ms: 1_000,
+        objective_ratio: if priority == 0 { 1.5 } else { 3.0 },
+        objective_extra_ms: [250, 1_000, 3_000][priority as usize],
     }
 }
 
@@ -117,6 +170,7 @@
     }
 }
 
+/// Step.
 pub fn step(count: u32, accelerators: u64, work_ms: u64) -> job::StepSpec {
     job::StepSpec {
         task_count: count,
@@ -130,6 +184,7 @@
     }
 }
 
+/// Gang.
 pub fn gang(count: u32, accelerators: u64, work_ms: u64) -> job::StepSpec {
     job::StepSpec {
         is_gang: true,
@@ -151,6 +206,8 @@
             seen: Vec::new(),
             is_store_away: false,
             completed_ms: BTreeMap::new(),
+            truths: BTreeMap::new(),
+            lost_core_s: 0.0,
             terms: Arc::new(standard_terms(guaranteed)),
             settings,
             version: 0,
@@ -195,6 +252,7 @@
         self.servers.insert(name.to_owned(), server);
     }
 
+    /// Now.
     pub fn now(&self) -> Now {
         Now {
             ms: self.now_ms,
@@ -210,6 +268,7 @@
         self.engine.set_servers(entries, now);
     }
 
+    /// Submit.
     pub fn submit(
         &mut self,
         name: &str,
@@ -236,6 +295,7 @@
         id
     }
 
+    /// Cancel.
     pub fn cancel(&mut self, id: &id::JobId) {
         let now = self.now();
         self.engine.cancel(id, now);
@@ -266,16 +326,19 @@
         server.life += 1;
     }
 
+    /// State.
     pub fn state(&self, id: &id::JobId) -> JobState {
         self.stored
             .get(id)
             .map_or(JobState::Queued, |(progress, _)| progress.state)
     }
 
+    /// Server.
     pub fn server(&mut self, name: &str) -> &mut ModelServer {
         self.servers.get_mut(name).unwrap()
     }
 
+    /// Running on.
     pub fn running_on(&self, name: &str) -> usize {
         self.servers[name].running.len()
     }
@@ -342,7 +405,7 @@
                 .max(order.lease_until_server_ms.unwrap_or(0));
             let running = server.running.iter().map(|(name, run)| RunningEntry {
                 name: name.clone(),
-                checkpoint: "".into(),
+                checkpoint: saved_text(run).into(),
                 percent: run.percent as u32,
             });
             let reply = HoldReply {
@@ -362,7 +425,7 @@
         for order in self.engine.take_orders() {
             match order {
                 Order::Start(on, start) => {
-                    let outcome = self.start(on.as_str(), &start.name);
+                    let outcome = self.start(on.as_str(), &start.name, &start.checkpoint);
                     self.engine.start_reply(&start.name, &outcome, now);
                 }
                 Order::Stop(on, name) => {
@@ -384,8 +447,9 @@
         }
     }
 
-    fn start(&mut self, on: &str, name: &RunName) -> StartOutcome {
+    fn start(&mut self, on: &str, name: &RunName, checkpoint: &str) -> StartOutcome {
         let need = self.need(name);
+        let saved_percent = checkpoint.parse().unwrap_or(0.0);
         let used = self.servers[on]
             .running
             .keys()
@@ -404,7 +468,11 @@
         server.running.insert(
             name.clone(),
             Run {
-                percent: 0.0,
+                percent: saved_percent,
+                saved_percent,
+                restored_ms: self.now_ms + if checkpoint.is_empty() { 0 } else { RESTORE_MS },
+                worked_ms: 0.0,
+                unsaved_ms: 0.0,
                 stop_at_ms: None,
             },
         );
@@ -428,94 +496,136 @@
 
     /// Lets tasks progress and ends those that are finished, stopped or lapsed.
     fn work(&mut self) {
-        let present: BTreeSet<RunName> = self
-            .servers
-            .values()
-            .flat_map(|server| server.running.keys().cloned())
-            .collect();
-        let now_ms = self.now_ms;
-        let mut ends: Vec<(String, RunName, EndKind)> = Vec::new();
-        let mut finished_gangs: BTreeSet<(id::JobId, u32)> = BTreeSet::new();
-        let names: Vec<String> = self.servers.keys().cloned().collect();
-        for on in &names {
-            let runs: Vec<RunName> = self.servers[on].running.keys().cloned().collect();
-            for run in runs {
-                let spec = self.spec(&run).clone();
-                let is_whole = !spec.is_gang
-                    || (0..spec.task_count).all(|rank| {
-                        let mut member = run.clone();
-                        member.task.index.rank = rank;
-                        present.contains(&member)
-                    });
-                let server = self.servers.get_mut(on).unwrap();
-                let lapsed = now_ms > server.lease_until_ms;
-                let rate = server.speed_ratio * STEP_MS as f64 * 100.0 / spec.estimate_ms as f64;
-                let (hangs, fails) = (server.hangs, server.fails_all);
-                let state = server.running.get_mut(&run).unwrap();
-                if is_whole && !hangs {
-                    state.percent += rate;
-                }
-                let kind = match () {
-                    () if lapsed => Some(EndKind::Lapsed),
-                    () if state.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) => {
-                        Some(EndKind::Stopped)
-                    }
-                    () if fails => Some(EndKind::Failed),
-                    () if state.percent >= 100.0 => Some(EndKind::Done),
-                    () => None,
+        let mut gangs: BTreeMap<(id::JobId, u32, id::Run), Vec<(String, RunName)>> =
+            BTreeMap::new();
+        for (on, server) in &self.servers {
+            for run in server.running.keys() {
+                let alone = match self.spec(run).is_gang {
+                    true => 0,
+                    false => run.task.index.rank + 1,
                 };
-                if kind == Some(EndKind::Done) && spec.is_gang {
-                    finished_gangs.insert((run.task.job.clone(), run.task.index.step));
-                }
-                if let Some(kind) = kind {
-                    ends.push((on.clone(), run, kind));
-                }
+                let step = run.task.index.step * 10_000 + alone;
+                gangs
+                    .entry((run.task.job.clone(), step, run.run))
+                    .or_default()
+                    .push((on.clone(), run.clone()));
             }
         }
-        for on in &names {
-            for run in self.servers[on].running.keys() {
-                let gang = (run.task.job.clone(), run.task.index.step);
-                let is_listed = ends.iter().any(|(_, ended, _)| ended == run);
-                if finished_gangs.contains(&gang) && !is_listed {
-                    ends.push((on.clone(), run.clone(), EndKind::Done));
-                }
-            }
+        for members in gangs.into_values() {
+            self.work_unit(&members);
         }
-        let mut broken = Vec::new();
-        for (on, run, kind) in &ends {
-            if self.spec(run).is_gang && *kind != EndKind::Done {
-                for other in &names {
-                    for member in self.servers[other].running.keys() {
-                        let is_same = member.task.job == run.task.job
-                            && member.task.index.step == run.task.index.step
-                            && member != run;
-                        let is_listed = ends.iter().any(|(_, ended, _)| ended == member);
-                        if is_same && !is_listed {
-                            broken.push((other.clone(), member.clone(), EndKind::Broken));
-                        }
-                    }
+    }
+
+    /// Lets the members of a gang, or one task, progress for a step, and ends them together.
+    fn work_unit(&mut self, members: &[(String, RunName)]) {
+        let spec = self.spec(&members[0].1).clone();
+        let is_whole = !spec.is_gang || members.len() == spec.task_count as usize;
+        let racks: BTreeSet<_> = members
+            .iter()
+            .map(|(on, _)| self.servers[on].entry.rack().cloned())
+            .collect();
+        let is_far = (spec.wants_one_rack && racks.len() > 1)
+            || spec
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| !racks.contains(&Some(rack.clone())));
+        let truth = self
+            .truths
+            .get(&members[0].1.task.job)
+            .cloned()
+            .unwrap_or_default();
+        let now_ms = self.now_ms;
+        let mut kind = None;
+        let mut is_all_done = true;
+        for (on, run) in members {
+            let work_ms = truth.work_ms.get(&run.task.index).copied();
+            let work_ms = work_ms.unwrap_or(spec.estimate_ms).max(1);
+            let server = self.servers.get_mut(on).unwrap();
+            let speed = if server.hangs {
+                0.0
+            } else {
+                server.speed_ratio
+            };
+            let far = if is_far { FAR_RATIO } else { 1.0 };
+            let rate = speed * STEP_MS as f64 * 100.0 / (work_ms as f64 * far);
+            let lapsed = now_ms > server.lease_until_ms;
+            let fails = server.fails_all;
+            let state = server.running.get_mut(run).unwrap();
+            state.worked_ms += STEP_MS as f64;
+            state.unsaved_ms += STEP_MS as f64;
+            if is_whole && now_ms >= state.restored_ms {
+                state.percent = (state.percent + rate).min(100.0);
+            }
+            if spec.is_checkpointing && state.unsaved_ms >= CHECKPOINT_EVERY_MS {
+                state.saved_percent = state.percent;
+                state.unsaved_ms = 0.0;
+            }
+            let ended = match () {
+                () if lapsed => Some(EndKind::Lapsed),
+                () if state.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) => {
+                    Some(EndKind::Stopped)
                 }
+                () if fails => Some(EndKind::Failed),
+                () if state.percent >= 50.0 && truth.is_hopeless => Some(EndKind::Failed),
+                () if state.percent >= 100.0 => Some(EndKind::Done),
+                () => None,
+            };
+            is_all_done &= ended == Some(EndKind::Done);
+            kind = kind.or(ended.filter(|ended| *ended != EndKind::Done));
+            if let (Some(ended), false) = (ended, spec.is_gang) {
+                self.end(on, run, ended);
             }
-            let _ = on;
         }
-        ends.extend(broken);
-        for (on, run, kind) in ends {
-            let server = self.servers.get_mut(&on).unwrap();
-            if server.running.remove(&run).is_none() {
-                continue;
+        // Members wait for the slowest and finish together.
+        let kind = kind.or((is_all_done && is_whole).then_some(EndKind::Done));
+        if let (Some(kind), true) = (kind, spec.is_gang) {
+            for (number, (on, run)) in members.iter().enumerate() {
+                let of_member = match (kind, number) {
+                    (EndKind::Done, _) | (_, 0) => kind,
+                    _ => EndKind::Broken,
+                };
+                self.end(on, run, of_member);
             }
-            let number = server.next_end;
-            server.next_end += 1;
-            server.ended.push(EndEntry {
-                number,
-                name: run.clone(),
-                kind,
-                checkpoint: "".into(),
-            });
-            close(&mut self.seen, &run, &on, now_ms, Some(kind));
         }
     }
 
+    fn end(&mut self, on: &str, run: &RunName, kind: EndKind) {
+        let need = self.need(run);
+        let is_checkpointing = self.spec(run).is_checkpointing;
+        let now_ms = self.now_ms;
+        let server = self.servers.get_mut(on).unwrap();
+        let Some(state) = server.running.remove(run) else {
+            return;
+        };
+        let mut state = state;
+        if is_checkpointing && kind == EndKind::Stopped {
+            state.saved_percent = state.percent;
+            state.unsaved_ms = 0.0;
+        }
+        if kind != EndKind::Done {
+            let lost_ms = match is_checkpointing {
+                true => state.unsaved_ms,
+                false => state.worked_ms,
+            };
+            let cores = need.cpu_millicores as f64 / 1_000.0
+                + CORES_PER_ACCELERATOR * need.accelerators as f64;
+            self.lost_core_s += cores * lost_ms / 1_000.0;
+        }
+        let number = server.next_end;
+        server.next_end += 1;
+        let checkpoint = match is_checkpointing {
+            true => saved_text(&state),
+            false => String::new(),
+        };
+        server.ended.push(EndEntry {
+            number,
+            name: run.clone(),
+            kind,
+            checkpoint: checkpoint.into(),
+        });
+        close(&mut self.seen, run, on, now_ms, Some(kind));
+    }
+
     /// Fails if two runs of one task overlapped, or one started after a finished one was stored.
     pub fn assert_no_task_twice(&self) {
         for (number, one) in self.seen.iter().enumerate() {
@@ -546,3 +656,10 @@
         open.end = end;
     }
 }
+
+fn saved_text(run: &Run) -> String {
+    match run.saved_percent > 0.0 {
+        true => format!("{:.2}", run.saved_percent),
+        false => String::new(),
+    }
+}
--- /dev/null
+++ b/lib/fleet-model/src/load.rs
@@ -0,0 +1,250 @@
+//! Days of jobs like those of the users, drawn from a seed.
+
+use camphorbeam_model::{id, job};
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{Truth, World, BATCH, NORMAL, STEP_MS, URGENT};
+
+/// A kind of job.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its queue.
+    pub queue: &'static str,
+    /// Jobs a second.
+    pub per_s: f64,
+    /// Mean and longest run time of a task.
+    pub work_ms: (f64, f64),
+    /// Spread of the run time, as the deviation of its logarithm.
+    pub work_spread: f64,
+    /// Mean and largest number of tasks.
+    pub width: (f64, f64),
+    /// Accelerators of a task, one of these.
+    pub accelerators: &'static [u64],
+    /// Processor share of a task.
+    pub cpu_millicores: u64,
+    /// Memory of a task.
+    pub memory_mb: u64,
+    /// Whether tasks run as gangs.
+    pub is_gang: bool,
+    /// Share of gangs that should be in one rack.
+    pub tight_share: f64,
+    /// Share of jobs that checkpoint.
+    pub checkpoint_share: f64,
+    /// Factor by which estimates are off at most, less one.
+    pub estimate_off: f64,
+    /// The objective: multiple of the work, and what is added.
+    pub objective: (f64, u64),
+    /// What a job is worth in time, and late.
+    pub worth: (f64, f64),
+    /// Share of jobs that can never be done.
+    pub hopeless_share: f64,
+}
+
+/// The kinds of a festival printer.
+pub fn festival() -> Vec<Kind> {
+    let gate = Kind {
+        queue: URGENT,
+        per_s: 1.92,
+        work_ms: (2_500.0, 8_000.0),
+        work_spread: 0.5,
+        width: (3.0, 18.0),
+        accelerators: &[1, 2, 4, 8, 8],
+        cpu_millicores: 7_500,
+        memory_mb: 15_000,
+        is_gang: true,
+        tight_share: 0.8,
+        checkpoint_share: 0.0,
+        estimate_off: 0.9,
+        objective: (1.5, 250),
+        worth: (4.0, 0.8),
+        hopeless_share: 0.0,
+    };
+    let artwork = Kind {
+        queue: NORMAL,
+        per_s: 1.08,
+        work_ms: (6_800.0, 11_000.0),
+        work_spread: 0.3,
+        width: (4.0, 24.0),
+        cpu_millicores: 26_000,
+        memory_mb: 53_000,
+        tight_share: 0.6,
+        checkpoint_share: 0.45,
+        objective: (3.0, 1_000),
+        worth: (3.0, 1.5),
+        ..gate.clone()
+    };
+    let reprint = Kind {
+        queue: BATCH,
+        per_s: 1.06,
+        work_ms: (6_100.0, 11_000.0),
+        width: (15.0, 72.0),
+        accelerators: &[1],
+        cpu_millicores: 5_600,
+        memory_mb: 11_000,
+        is_gang: false,
+        estimate_off: 0.5,
+        objective: (3.0, 3_000),
+        worth: (1.0, 0.5),
+        hopeless_share: 0.01,
+        ..artwork.clone()
+    };
+    vec![gate, artwork, reprint]
+}
+
+/// The kinds of a pool of meter benches.
+pub fn laboratory() -> Vec<Kind> {
+    let kinds = festival();
+    let seal = Kind {
+        per_s: 2.38,
+        width: (3.4, 21.0),
+        memory_mb: 11_000,
+        estimate_off: 0.5,
+        ..kinds[0].clone()
+    };
+    let fit = Kind {
+        per_s: 0.628,
+        work_ms: (8_500.0, 11_000.0),
+        width: (5.0, 30.0),
+        memory_mb: 38_000,
+        worth: (3.0, 0.9),
+        ..kinds[1].clone()
+    };
+    let drift = Kind {
+        per_s: 0.472,
+        work_ms: (9_500.0, 11_000.0),
+        width: (20.0, 94.0),
+        estimate_off: 0.9,
+        worth: (1.0, 0.3),
+        hopeless_share: 0.03,
+        ..kinds[2].clone()
+    };
+    vec![seal, fit, drift]
+}
+
+/// A job of a day.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// When it comes, from the start of the day.
+    pub at_ms: u64,
+    /// Place of its kind.
+    pub kind: usize,
+    /// Its client account: `a` to `d`.
+    pub account: &'static str,
+    /// Its steps.
+    pub step: job::StepSpec,
+    /// What it really is.
+    pub truth: Truth,
+    /// The objective: time from its arrival.
+    pub objective_ms: u64,
+    /// Its work, in core-seconds.
+    pub core_s: f64,
+}
+
+/// Client accounts of a day.
+const ACCOUNTS: [&str; 4] = ["a", "b", "c", "d"];
+
+/// A number whose logarithm is normal, with this mean; by the sum of twelve uniform ones.
+fn log_normal(random: &mut ChaCha8Rng, mean: f64, spread: f64) -> f64 {
+    let normal: f64 = (0..12).map(|_| random.random::<f64>()).sum::<f64>() - 6.0;
+    mean * (spread * normal - spread * spread / 2.0).exp()
+}
+
+fn draw(kinds: &[Kind], number: usize, at_ms: u64, random: &mut ChaCha8Rng) -> Arrival {
+    let kind = &kinds[number];
+    let work_ms = log_normal(random, kind.work_ms.0, kind.work_spread).min(kind.work_ms.1);
+    let width = log_normal(random, kind.width.0, 0.8)
+        .clamp(1.0, kind.width.1)
+        .round() as u32;
+    let accelerators = kind.accelerators[random.random_range(0..kind.accelerators.len())];
+    let off = 1.0 + random.random::<f64>() * kind.estimate_off;
+    let estimate_ms = match random.random_bool(0.5) {
+        true => work_ms * off,
+        false => work_ms / off,
+    };
+    let step = job::StepSpec {
+        task_count: width,
+        need: job::Resources {
+            cpu_millicores: kind.cpu_millicores,
+            memory_mb: kind.memory_mb,
+            accelerators,
+        },
+        estimate_ms: estimate_ms as u64,
+        is_gang: kind.is_gang,
+        wants_one_rack: random.random_bool(kind.tight_share),
+        is_checkpointing: random.random_bool(kind.checkpoint_share),
+        ..job::StepSpec::default()
+    };
+    let mut truth = Truth {
+        is_hopeless: random.random_bool(kind.hopeless_share),
+        ..Truth::default()
+    };
+    let mut longest_ms = 0.0_f64;
+    for rank in 0..width {
+        let own_ms = work_ms * (1.0 + 0.15 * (2.0 * random.random::<f64>() - 1.0));
+        longest_ms = longest_ms.max(own_ms);
+        let index = job::TaskIndex {
+            occurrence: 0,
+            step: 0,
+            rank,
+        };
+        truth.work_ms.insert(index, own_ms as u64);
+    }
+    let cores = kind.cpu_millicores as f64 / 1_000.0 + 8.0 * accelerators as f64;
+    Arrival {
+        at_ms,
+        kind: number,
+        account: ACCOUNTS[random.random_range(0..ACCOUNTS.len())],
+        step,
+        truth,
+        objective_ms: (longest_ms * kind.objective.0) as u64 + kind.objective.1,
+        core_s: cores * f64::from(width) * work_ms / 1_000.0,
+    }
+}
+
+/// The arrivals of `length_ms`, with each kind `load_ratio` times as frequent; between the times of
+/// `burst` the first kind comes `burst.2` times as often.
+pub fn day(
+    kinds: &[Kind],
+    seed: u64,
+    length_ms: u64,
+    load_ratio: f64,
+    burst: (u64, u64, f64),
+) -> Vec<Arrival> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    for at_ms in (0..length_ms).step_by(STEP_MS as usize) {
+        for (number, kind) in kinds.iter().enumerate() {
+            let is_burst = number == 0 && (burst.0..burst.1).contains(&at_ms);
+            let factor = if is_burst { burst.2 } else { 1.0 };
+            let chance = kind.per_s * load_ratio * factor * STEP_MS as f64 / 1_000.0;
+            if random.random_bool(chance.min(1.0)) {
+                arrivals.push(draw(kinds, number, at_ms, &mut random));
+            }
+        }
+    }
+    arrivals
+}
+
+/// Plays `arrivals` and the time after them until all objectives are long past.
+pub fn play(world: &mut World, kinds: &[Kind], arrivals: &[Arrival]) -> Vec<id::JobId> {
+    let start_ms = world.now_ms;
+    let mut ids = Vec::new();
+    for (number, arrival) in arrivals.iter().enumerate() {
+        let at_ms = start_ms + arrival.at_ms;
+        if world.now_ms < at_ms {
+            world.run(at_ms - world.now_ms);
+        }
+        let name = format!("{number:016x}");
+        let queue = kinds[arrival.kind].queue;
+        let id = id::JobId::new(&name).unwrap();
+        world.truths.insert(id, arrival.truth.clone());
+        ids.push(world.submit(&name, queue, arrival.account, vec![arrival.step.clone()]));
+    }
+    world.run(AFTERMATH_MS);
+    ids
+}
+
+/// Time after the last arrival in which late jobs may still be completed.
+const AFTERMATH_MS: u64 = 14_000;
--- /dev/null
+++ b/lib/fleet-model/src/report.rs
@@ -0,0 +1,124 @@
+//! What a played day has earned.
+
+use camphorbeam_model::id;
+
+use crate::load::{Arrival, Kind};
+use crate::World;
+
+/// Objectives after which a job earns nothing.
+const LATE_OBJECTIVES: u64 = 3;
+
+/// Price of a core-second of lost work, in worth.
+const LOST_CORE_S_PRICE: f64 = 0.0018;
+
+/// What one kind of job has earned.
+#[derive(Clone, Debug, Default)]
+pub struct KindReport {
+    /// Jobs that could be done.
+    pub owed: usize,
+    /// Jobs completed within their objective.
+    pub in_time: usize,
+    /// Jobs completed late.
+    pub late: usize,
+    /// Worth earned, of [`KindReport::worth_owed`].
+    pub worth: f64,
+    /// Worth of all jobs in time.
+    pub worth_owed: f64,
+}
+
+/// What a day has earned.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// By kind.
+    pub kinds: Vec<KindReport>,
+    /// The same of the largest tenth of each kind.
+    pub largest: Vec<KindReport>,
+    /// Core-seconds thrown away.
+    pub lost_core_s: f64,
+}
+
+impl Report {
+    /// Share of the owed worth that was earned.
+    pub fn worth_ratio(&self) -> f64 {
+        let owed: f64 = self.kinds.iter().map(|kind| kind.worth_owed).sum();
+        self.kinds.iter().map(|kind| kind.worth).sum::<f64>() / owed
+    }
+
+    /// The same less the price of lost work.
+    pub fn net_ratio(&self) -> f64 {
+        let owed: f64 = self.kinds.iter().map(|kind| kind.worth_owed).sum();
+        self.worth_ratio() - self.lost_core_s * LOST_CORE_S_PRICE / owed
+    }
+}
+
+fn add(
+    report: &mut KindReport,
+    kind: &Kind,
+    size_ratio: f64,
+    took_ms: Option<u64>,
+    within_ms: u64,
+) {
+    let size = (0.3 + 0.7 * size_ratio).min(4.0);
+    report.owed += 1;
+    report.worth_owed += kind.worth.0 * size;
+    match took_ms {
+        Some(took_ms) if took_ms <= within_ms => {
+            report.in_time += 1;
+            report.worth += kind.worth.0 * size;
+        }
+        Some(took_ms) if took_ms <= LATE_OBJECTIVES * within_ms => {
+            report.late += 1;
+            report.worth += kind.worth.1 * size;
+        }
+        _ => {}
+    }
+}
+
+/// Counts what the played `arrivals` have earned.
+pub fn count(world: &World, kinds: &[Kind], arrivals: &[Arrival], ids: &[id::JobId]) -> Report {
+    let mut report = Report {
+        kinds: vec![KindReport::default(); kinds.len()],
+        largest: vec![KindReport::default(); kinds.len()],
+        lost_core_s: world.lost_core_s,
+    };
+    for (number, kind) in kinds.iter().enumerate() {
+        let of_kind: Vec<_> = arrivals
+            .iter()
+            .zip(ids)
+            .filter(|(arrival, _)| arrival.kind == number && !arrival.truth.is_hopeless)
+            .collect();
+        let mean = of_kind
+            .iter()
+            .map(|(arrival, _)| arrival.core_s)
+            .sum::<f64>()
+            / of_kind.len().max(1) as f64;
+        let mut sizes: Vec<f64> = of_kind.iter().map(|(arrival, _)| arrival.core_s).collect();
+        sizes.sort_by(f64::total_cmp);
+        let largest = sizes
+            .get(sizes.len() * 9 / 10)
+            .copied()
+            .unwrap_or(f64::INFINITY);
+        for (arrival, id) in of_kind {
+            let accepted_ms = world.accepted[id].accepted_unix_ms;
+            let took_ms = world.completed_ms.get(id).map(|at_ms| at_ms - accepted_ms);
+            let size_ratio = arrival.core_s / mean;
+            add(
+                &mut report.kinds[number],
+                kind,
+                size_ratio,
+                took_ms,
+                arrival.objective_ms,
+            );
+            if arrival.core_s >= largest {
+                add(
+                    &mut report.largest[number],
+                    kind,
+                    size_ratio,
+                    took_ms,
+                    arrival.objective_ms,
+                );
+            }
+        }
+    }
+    report
+}
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -27,8 +27,17 @@
 /// Estimate below which a task counts as short.
 const SHORT_TASK_MS: u64 = 5_000;
 
-/// Speed, relative to the median, below which urgent work would miss its objective.
-const URGENT_SPEED_MIN_RATIO: f64 = 0.78;
+/// Allowance for estimates that are too short when the speed is chosen that a job needs.
+const ESTIMATE_MARGIN_RATIO: f64 = 1.15;
+
+/// Highest speed, relative to the median, that a job waits for.
+const NEEDED_SPEED_MAX_RATIO: f64 = 0.95;
+
+/// Needed speed, relative to the median, above which no server brings a job in time.
+const HOPELESS_SPEED_RATIO: f64 = 1.6;
+
+/// Needed speed below which a job leaves the fast servers to others.
+const PATIENT_SPEED_RATIO: f64 = 0.6;
 
 /// Speed below which a server is avoided by all work, and left if that pays.
 const CRAWLING_RATIO: f64 = 0.3;
@@ -242,7 +251,7 @@
 
     /// Units that may start, the most pressing first.
     fn queue(&mut self, now: Now) -> Vec<(id::JobId, Unit)> {
-        let mut queue: Vec<((bool, u32, u64), id::JobId, Unit)> = Vec::new();
+        let mut queue: Vec<(Rank, id::JobId, Unit)> = Vec::new();
         for job in self.jobs.values_mut() {
             let units = job.ready_units(now.unix_ms).to_vec();
             if units.is_empty() {
@@ -250,7 +259,9 @@
             }
             let age_ms = now.ms.saturating_sub(job.accepted_ms);
             let is_worthless = age_ms > WORTHLESS_AFTER_OBJECTIVES * job.objective_ms();
-            let key = (is_worthless, job.accepted.terms.priority, job.accepted_ms);
+            let is_late = needed_speed_ratio(job, units[0], now) > HOPELESS_SPEED_RATIO;
+            let priority = job.accepted.terms.priority;
+            let key = (is_worthless, priority, is_late, job.accepted_ms);
             queue.extend(units.into_iter().map(|unit| (key, job.id.clone(), unit)));
         }
         queue.sort_by_key(|a| a.0);
@@ -294,19 +305,23 @@
                 self.start_unit(&id, unit, &choice, &mut board, now);
                 continue;
             }
-            let is_urgent = self.jobs[&id].accepted.terms.priority == 0;
-            let waited_ms = now.ms.saturating_sub(self.jobs[&id].accepted_ms);
+            let job = &self.jobs[&id];
+            let is_urgent = job.accepted.terms.priority == 0;
+            let is_late = needed_speed_ratio(job, unit, now) > HOPELESS_SPEED_RATIO;
+            let waited_ms = now.ms.saturating_sub(job.accepted_ms);
             if is_urgent && waited_ms >= PREEMPT_PATIENCE_MS {
                 let known = victims.get_or_insert_with(|| self.victims(&board, now));
                 let known = std::mem::take(known);
                 let kept = self.preempt(&id, unit, &mut board, known, &guaranteed, now);
                 victims = Some(kept);
             }
-            let any_speed = match self.claims.contains_key(&(id.clone(), unit)) {
+            // An urgent job that can still be in time waits for a server that is fast enough.
+            let is_claimed = self.claims.contains_key(&(id.clone(), unit));
+            let any_speed = match is_claimed || (is_urgent && !is_late) {
                 true => None,
                 false => {
                     let mut demand = self.demand(&id, unit, &guaranteed, now);
-                    demand.speed_min_ratio = 0.0;
+                    demand.speed_min_ratio = CRAWLING_RATIO;
                     board.choose(&demand)
                 }
             };
@@ -447,14 +462,15 @@
         let may_spread = job.accepted.terms.priority == 0
             && guaranteed.contains(&job.accepted.account)
             && 2 * waited_ms > self.settings.reclaim_ms;
+        let needed = needed_speed_ratio(job, unit, now);
         Demand {
             step,
             service: &job.accepted.terms.service,
             count: unit.count,
-            is_urgent: job.accepted.terms.priority == 0,
-            speed_min_ratio: match job.accepted.terms.priority {
-                0 => URGENT_SPEED_MIN_RATIO,
-                _ => CRAWLING_RATIO,
+            takes_fast: needed > PATIENT_SPEED_RATIO,
+            speed_min_ratio: match needed > HOPELESS_SPEED_RATIO {
+                true => CRAWLING_RATIO,
+                false => needed.clamp(CRAWLING_RATIO, NEEDED_SPEED_MAX_RATIO),
             },
             avoided,
             present,
@@ -603,6 +619,18 @@
     }
 }
 
+/// The order of units: what can earn nothing last, then by priority, what is late anyway after
+/// what can be in time, and the oldest first.
+type Rank = (bool, u32, bool, u64);
+
+/// Speed, relative to the median, that brings a job in time if the unit starts now.
+fn needed_speed_ratio(job: &OpenJob, unit: Unit, now: Now) -> f64 {
+    let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+    let left_ms = job.objective_ms().saturating_sub(waited_ms).max(1);
+    let estimate_ms = job.step(unit.first).estimate_ms as f64;
+    ESTIMATE_MARGIN_RATIO * estimate_ms / left_ms as f64
+}
+
 fn lost_core_s(job: &OpenJob, live: &LiveRun, now: Now) -> f64 {
     let worked_ms = match live.phase {
         Phase::Present { since_ms } => now.ms.saturating_sub(since_ms),
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -637,3 +637,12 @@
         self.jobs.get(id)
     }
 }
+
+impl Engine {
+    /// The speed that is believed of a server, relative to the median.
+    pub fn speed(&self, id: &str) -> f64 {
+        let median = self.speeds.median(self.servers.keys());
+        let server = self.servers.keys().find(|server| server.as_str() == id);
+        server.map_or(1.0, |server| self.speeds.ratio(server) / median)
+    }
+}
--- a/lib/jobs/src/outcome.rs
+++ b/lib/jobs/src/outcome.rs
@@ -43,7 +43,8 @@
         if !is_current {
             return;
         }
-        if end.kind == EndKind::Done {
+        let is_gang = self.jobs[id].step(index).is_gang;
+        if end.kind == EndKind::Done && !is_gang {
             self.learn_speed(id, index, 100.0, now);
         }
         self.keep_checkpoint(id, index, end);
@@ -81,16 +82,17 @@
             return;
         };
         let on = live.server.clone();
-        let Some(began_ms) = live.began_ms else {
-            return;
-        };
-        // The members of a gang wait for each other: only one on a single server tells its speed.
+        // A gang begins its work when its last member is there.
         let runs = &job.runs;
-        let is_alone = unit
+        let began: Option<Vec<u64>> = unit
             .members()
-            .all(|member| runs.get(&member).is_none_or(|other| other.server == on));
+            .map(|member| runs.get(&member).and_then(|live| live.began_ms))
+            .collect();
+        let Some(began_ms) = began.and_then(|began| began.into_iter().max()) else {
+            return;
+        };
         let took_ms = now.ms.saturating_sub(began_ms);
-        if !is_alone || estimate_ms == 0 || took_ms < OBSERVED_MIN_MS {
+        if estimate_ms == 0 || took_ms < OBSERVED_MIN_MS {
             return;
         }
         let ratio = percent / 100.0 * estimate_ms as f64 / took_ms as f64;
@@ -243,7 +245,7 @@
             if matches!(live.phase, Phase::Ordered { .. }) {
                 live.become_present(now.ms);
                 self.begin(id);
-            } else if is_observable {
+            } else if is_observable && entry.percent < ALL_PERCENT {
                 self.begin(id);
                 self.learn_speed(id, index, f64::from(entry.percent) + HALF_PERCENT, now);
             }
@@ -272,5 +274,8 @@
 /// Time between two observations of one run.
 const OBSERVED_EVERY_MS: u64 = 900;
 
+/// Progress of a member that waits for the others of its gang.
+const ALL_PERCENT: u32 = 100;
+
 /// Progress is listed in whole percents, rounded down.
 const HALF_PERCENT: f64 = 0.5;
--- a/lib/jobs/src/placement.rs
+++ b/lib/jobs/src/placement.rs
@@ -42,8 +42,8 @@
     pub service: &'a id::ServiceName,
     /// How many tasks.
     pub count: u32,
-    /// Whether it should have a fast server rather than leave it to others.
-    pub is_urgent: bool,
+    /// Whether it takes a fast server rather than leave it to others.
+    pub takes_fast: bool,
     /// Slowest speed, relative to the median, that it takes.
     pub speed_min_ratio: f64,
     /// Servers on which the job has failed.
@@ -218,7 +218,7 @@
     fn slot_cost(&self, place: usize, demand: &Demand<'_>) -> f64 {
         let slot = &self.slots[place];
         let suspect = if slot.is_suspect { 1_000.0 } else { 0.0 };
-        let speed = match demand.is_urgent {
+        let speed = match demand.takes_fast {
             true => 0.0,
             // Work with time to spare leaves the fast servers to the urgent.
             false => FAST_SERVER_COST * slot.speed_ratio.min(2.0),
@@ -240,7 +240,7 @@
         let slowest = speeds().fold(f64::INFINITY, f64::min);
         let held_for_nothing: f64 = speeds().map(|speed| speed / slowest - 1.0).sum();
         let mixed = held_for_nothing * demand.step.need.accelerators.max(1) as f64;
-        let slow = match demand.is_urgent {
+        let slow = match demand.takes_fast {
             true => demand.step.need.accelerators as f64 / slowest,
             false => 0.0,
         };
--- a/lib/jobs/tests/test_lost_server.rs
+++ b/lib/jobs/tests/test_lost_server.rs
@@ -1,9 +1,9 @@
 //! Servers that go away without a word.
 
-mod support;
+use camphorbeam_fleet_model as support;
 
+use camphorbeam_fleet_model::{step, World};
 use camphorbeam_jobs::progress::JobState;
-use support::{step, World};
 
 /// Longest time after a server has died until its tasks start elsewhere: 2 s in which renewals may
 /// still have reached it, the longest lease of 6 s on a clock that is 2% slow, and 0.5 s of margins.
--- a/lib/jobs/tests/test_takeover.rs
+++ b/lib/jobs/tests/test_takeover.rs
@@ -1,10 +1,10 @@
 //! What a scheduler does that takes over from another one.
 
-mod support;
+use camphorbeam_fleet_model as support;
 
+use camphorbeam_fleet_model::{step, World};
 use camphorbeam_jobs::progress::JobState;
 use rstest::rstest;
-use support::{step, World};
 
 #[rstest]
 #[case::server_is_still_registered(true)]
