fleet-model: an end that a crash has taken before it was acknowledged may be run again

In place of it, the check follows lives and acknowledgements, and a start after an acknowledged end still fails.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -115,6 +115,10 @@
     pub to_ms: Option<u64>,
     /// End.
     pub end: Option<EndKind>,
+    /// The life of the server.
+    pub life: u64,
+    /// Whether its end was acknowledged.
+    pub is_acknowledged: bool,
 }
 
 /// World.
@@ -444,6 +448,16 @@
             if server.is_cut {
                 continue;
             }
+            for end in &server.ended {
+                let is_it = |seen: &&mut Seen| {
+                    seen.name == end.name && seen.server == name && seen.life == server.life
+                };
+                if end.number <= order.ends_acknowledged {
+                    if let Some(seen) = self.seen.iter_mut().find(is_it) {
+                        seen.is_acknowledged = true;
+                    }
+                }
+            }
             server
                 .ended
                 .retain(|end| end.number > order.ends_acknowledged);
@@ -581,6 +595,8 @@
             from_ms: self.now_ms,
             to_ms: None,
             end: None,
+            life: self.servers[on].life,
+            is_acknowledged: false,
         });
         start_outcome(&self.servers[on])
     }
@@ -758,10 +774,12 @@
                     "two runs at the same time: {one:?} and {other:?}\n{}",
                     self.story(&one.name.task)
                 );
-                // An order that was sent twice may run in two lives of its server.
-                let is_after_crash = one.end.is_none()
-                    && other.server == one.server
-                    && other.name.run == one.name.run;
+                // An order that was sent twice may run in two lives of its server, unless the end
+                // of the first was acknowledged.
+                let is_after_crash = other.server == one.server
+                    && other.life > one.life
+                    && other.name.run == one.name.run
+                    && !one.is_acknowledged;
                 assert!(
                     other.name.run > one.name.run || is_after_crash,
                     "run numbers went back: {one:?}, {other:?}\n{}",
