--- a/lib/fleet-model/examples/job_days.rs
+++ b/lib/fleet-model/examples/job_days.rs
@@ -23,6 +23,7 @@
             let mut worth = 0.0;
             let mut lost = 0.0;
             let mut by_kind = vec![(0, 0, 0); kinds.len()];
+            let mut largest = by_kind.clone();
             let play = |seed: u64| {
                 let mut world = World::new(6, 8, 60);
                 for (place, server) in world.servers.values_mut().enumerate() {
@@ -47,6 +48,11 @@
                 net += report.net_ratio() / SEEDS as f64;
                 worth += report.worth_ratio() / SEEDS as f64;
                 lost += report.lost_core_s / SEEDS as f64;
+                for (sum, kind) in largest.iter_mut().zip(&report.largest) {
+                    sum.0 += kind.owed;
+                    sum.1 += kind.in_time;
+                    sum.2 += kind.late;
+                }
                 for (sum, kind) in by_kind.iter_mut().zip(&report.kinds) {
                     sum.0 += kind.owed;
                     sum.1 += kind.in_time;
@@ -55,7 +61,7 @@
             }
             println!(
                 "{name:10} load {load_ratio:4}: net {net:.3} worth {worth:.3} lost {lost:7.0} \
-                 core-s; owed/in time/late {by_kind:?}"
+                 core-s; owed/in time/late {by_kind:?} largest {largest:?}"
             );
         }
     }
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -59,6 +59,12 @@
 /// How long a claim on servers holds beyond the time that stops take.
 const CLAIM_MARGIN_MS: u64 = 700;
 
+/// Share of a job's objective after which a gang that does not fit gets servers reserved.
+const RESERVE_AFTER_RATIO: f64 = 0.25;
+
+/// How long a reservation holds before it is made anew where the gang then fits soonest.
+const RESERVATION_MS: u64 = 4_000;
+
 /// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
 const PREEMPT_LOSS_RATIO: f64 = 0.35;
 
@@ -270,7 +276,9 @@
             return;
         }
         let mut board = self.board(now);
-        self.place_claims(&mut board, now);
+        self.place_claims(&mut board, true, now);
+        let mut are_claims_placed = false;
+        let mut has_reserved = self.has_reservation();
         let mut hopeless: BTreeSet<(id::JobId, u32, u32)> = BTreeSet::new();
         let guaranteed = self.guaranteed_accounts();
         let total: u64 = board
@@ -282,6 +290,10 @@
         let mut victims: Option<Vec<Victim>> = None;
         for (id, unit) in queue {
             let step = (id.clone(), unit.first.occurrence, unit.first.step);
+            if self.jobs[&id].accepted.terms.priority > 0 && !are_claims_placed {
+                self.place_claims(&mut board, false, now);
+                are_claims_placed = true;
+            }
             let is_claimed = self.claims.contains_key(&(id.clone(), unit));
             if is_claimed || hopeless.contains(&step) || !self.is_waiting(&id, unit) {
                 continue;
@@ -322,6 +334,9 @@
                 Some(choice) => self.start_unit(&id, unit, &choice, &mut board, now),
                 None => {
                     hopeless.insert(step);
+                    if !is_claimed && !has_reserved {
+                        has_reserved = self.reserve(&id, unit, &mut board, &guaranteed, now);
+                    }
                 }
             }
         }
@@ -373,11 +388,80 @@
             .retain(|unit, claim| waiting.contains(unit) && now.ms < claim.until_ms);
     }
 
+    /// Whether a gang that is not urgent has servers reserved.
+    fn has_reservation(&self) -> bool {
+        let mut claims = self.claims.keys();
+        claims.any(|(id, _)| self.jobs[id].accepted.terms.priority > 0)
+    }
+
+    /// Reserves servers for a gang that has waited long, where it fits soonest. Without that, small
+    /// units take each server as it becomes free, and a wide gang never starts.
+    fn reserve(
+        &mut self,
+        id: &id::JobId,
+        unit: Unit,
+        board: &mut Board,
+        guaranteed: &BTreeSet<id::ClientAccountName>,
+        now: Now,
+    ) -> bool {
+        let job = &self.jobs[id];
+        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+        let patience_ms = (job.objective_ms() as f64 * RESERVE_AFTER_RATIO) as u64;
+        if unit.count == 1 || job.accepted.terms.priority == 0 || waited_ms < patience_ms {
+            return false;
+        }
+        let need = job.step(unit.first).need;
+        let choice = {
+            let mut demand = self.demand(id, unit, guaranteed, now);
+            demand.speed_min_ratio = CRAWLING_RATIO;
+            preemption::soonest(board, &demand, &self.expected_ends(board))
+        };
+        let Some(choice) = choice else {
+            return false;
+        };
+        let servers = choice
+            .iter()
+            .map(|&place| board.slots[place].server.clone());
+        let claim = Claim {
+            servers: servers.collect(),
+            need,
+            until_ms: now.ms + RESERVATION_MS,
+        };
+        for &place in &choice {
+            board.take(place, &need);
+        }
+        self.claims.insert((id.clone(), unit), claim);
+        true
+    }
+
+    /// When each run is expected to end, from now, and what it frees where.
+    fn expected_ends(&self, board: &Board) -> Vec<preemption::ExpectedEnd> {
+        let mut ends = Vec::new();
+        for job in self.jobs.values() {
+            for (index, live) in &job.runs {
+                let Some(place) = board.place_of(&live.server) else {
+                    continue;
+                };
+                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
+                let estimate_ms = job.step(*index).estimate_ms as f64;
+                let speed_ratio = board.slots[place].speed_ratio.max(CRAWLING_RATIO);
+                ends.push(preemption::ExpectedEnd {
+                    in_ms: (left * estimate_ms / speed_ratio) as u64,
+                    place,
+                    need: live.need,
+                });
+            }
+        }
+        ends.sort_by_key(|end| end.in_ms);
+        ends
+    }
+
     /// Starts claimants whose servers are free and keeps the others' servers for them.
-    fn place_claims(&mut self, board: &mut Board, now: Now) {
+    fn place_claims(&mut self, board: &mut Board, is_urgent: bool, now: Now) {
         let claims: Vec<_> = self
             .claims
             .iter()
+            .filter(|((id, _), _)| is_urgent == (self.jobs[id].accepted.terms.priority == 0))
             .map(|(unit, claim)| (unit.clone(), claim.clone()))
             .collect();
         for ((id, unit), claim) in claims {
--- a/lib/jobs/src/preemption.rs
+++ b/lib/jobs/src/preemption.rs
@@ -139,6 +139,39 @@
     Some((chosen, choice))
 }
 
+/// When a run is expected to end, and what it frees.
+#[derive(Clone, Copy, Debug)]
+pub struct ExpectedEnd {
+    /// Time until then.
+    pub in_ms: u64,
+    /// Where, by place on the board.
+    pub place: usize,
+    /// What it takes there.
+    pub need: job::Resources,
+}
+
+/// The servers on which `demand` fits soonest, as the runs in `ends` end; `ends` is in order.
+pub fn soonest(
+    board: &placement::Board,
+    demand: &placement::Demand<'_>,
+    ends: &[ExpectedEnd],
+) -> Option<placement::Choice> {
+    let groups = board.groups(demand).into_iter();
+    let fits = groups.filter_map(|group| {
+        let mut freed = board.clone();
+        for end in ends.iter().filter(|end| group.contains(&end.place)) {
+            let slot = &mut freed.slots[end.place];
+            slot.free = slot.free.plus(&end.need);
+            if let Some(choice) = freed.fit(&group, demand) {
+                return Some((end.in_ms, choice));
+            }
+        }
+        None
+    });
+    let soonest = fits.min_by_key(|(in_ms, _)| *in_ms);
+    soonest.map(|(_, choice)| choice)
+}
+
 fn give_back(board: &mut placement::Board, victim: &Victim) {
     for (place, need) in &victim.holds {
         let slot = &mut board.slots[*place];
