--- /dev/null
+++ b/lib/host/tests/test_gateway.rs
@@ -0,0 +1,217 @@
+//! What callers are told, and what is true of it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::task::block_on;
+use camphorbeam_clock as clock;
+use camphorbeam_host::call::{Call, Operation, Reply};
+use camphorbeam_host::{follower, gateway, peers, relay, rows, site};
+use camphorbeam_jobs::progress::JobState;
+use camphorbeam_model::{fleet, id, job, terms};
+use camphorbeam_platform::memory_store::{Fault, MemoryStore};
+use camphorbeam_platform::store;
+
+/// A platform whose terms are always the same queue.
+struct OneQueue;
+
+impl site::Site for OneQueue {
+    fn terms_row(&self) -> store::RowKey {
+        store::RowKey::new("terms", "", "newest")
+    }
+
+    fn decode_terms(&self, text: &str) -> anyhow::Result<terms::Terms> {
+        let account = id::ClientAccountName::new("acme")?;
+        let other = id::ClientAccountName::new("other")?;
+        Ok(terms::Terms {
+            version: id::TermsVersion(text.parse()?),
+            queues: vec![terms::Queue {
+                name: id::QueueName::new("q")?,
+                host: "h.example".into(),
+                path_prefix: "/q/".into(),
+                is_public: false,
+                call_timeout_ms: 3_000,
+                needs_tickets: false,
+                job_terms: job::JobTerms {
+                    service: id::ServiceName::new("s")?,
+                    priority: 0,
+                    attempts_max: 2,
+                    objective_ratio: 1.5,
+                    objective_extra_ms: 250,
+                },
+            }],
+            keys: [("k1".into(), account), ("k2".into(), other)].into(),
+            body_max_bytes: 10_000,
+            ..terms::Terms::default()
+        })
+    }
+
+    fn registry_table(&self) -> &'static str {
+        "registry"
+    }
+
+    fn decode_server(&self, _row: &store::Row) -> anyhow::Result<fleet::ServerEntry> {
+        anyhow::bail!("no servers here")
+    }
+}
+
+struct Fixture {
+    store: MemoryStore,
+    gateway: gateway::Gateway,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let fixture = Self::without_terms();
+        fixture.gateway.board.offer(&OneQueue, "1", "test");
+        fixture
+    }
+
+    fn without_terms() -> Self {
+        let own: SocketAddr = ([127, 0, 0, 1], 1).into();
+        let store = MemoryStore::default();
+        let clock = clock::Clock::system();
+        let ways = relay::RelayedStore::new(
+            Arc::new(store.clone()),
+            Arc::new(peers::Peers::new(own, &[])),
+            clock.clone(),
+        );
+        Self {
+            store,
+            gateway: gateway::Gateway {
+                board: Arc::new(follower::Board::default()),
+                store: Arc::new(ways),
+                clock,
+            },
+        }
+    }
+
+    fn call(&self, key: &str, path: &str, operation: Operation) -> Reply {
+        block_on(self.gateway.answer(Call {
+            host: "h.example".into(),
+            path: path.into(),
+            key: Some(key.into()),
+            deadline_ms: Some(900),
+            operation,
+        }))
+    }
+
+    fn submit(&self, key: &str, id: &str) -> Reply {
+        let spec = job::JobSpec {
+            payload: "p".into(),
+            steps: vec![job::StepSpec {
+                task_count: 1,
+                ..job::StepSpec::default()
+            }],
+            schedule: None,
+        };
+        let operation = Operation::Submit {
+            body_bytes: 100,
+            spec: Ok(spec),
+        };
+        self.call(key, &format!("/q/{id}"), operation)
+    }
+
+    fn is_stored(&self, id: &str) -> bool {
+        let id = id::JobId::new(id).unwrap();
+        self.store.value(&rows::job(&id)).is_some()
+    }
+}
+
+const QUEUED: Reply = Reply::State(JobState::Queued);
+
+#[test]
+fn test_gateway_without_terms_refuses_for_now() {
+    let fixture = Fixture::without_terms();
+    assert!(matches!(fixture.submit("k1", "j1"), Reply::NotNow { .. }));
+}
+
+#[test]
+fn test_gateway_accepts_what_is_stored_and_the_same_id_once() {
+    let fixture = Fixture::new();
+    assert_eq!(fixture.submit("k1", "j1"), QUEUED);
+    assert!(fixture.is_stored("j1"));
+    assert_eq!(fixture.submit("k1", "j1"), QUEUED);
+    assert_eq!(fixture.submit("k2", "j1"), Reply::TakenId);
+}
+
+#[test]
+fn test_gateway_refuses_only_what_is_not_stored() {
+    let fixture = Fixture::new();
+    fixture.store.set_fault(Fault::Busy);
+    assert!(matches!(fixture.submit("k1", "j1"), Reply::NotNow { .. }));
+    assert!(!fixture.is_stored("j1"));
+}
+
+#[test]
+fn test_gateway_does_not_refuse_what_may_be_stored_later() {
+    let fixture = Fixture::new();
+    fixture.store.set_fault(Fault::Late);
+    assert!(matches!(fixture.submit("k1", "j1"), Reply::Unclear(_)));
+    fixture.store.set_fault(Fault::None);
+    fixture.store.apply_late();
+    assert!(fixture.is_stored("j1"));
+    assert_eq!(fixture.submit("k1", "j1"), QUEUED);
+}
+
+#[test]
+fn test_gateway_accepts_what_was_stored_without_an_answer() {
+    let fixture = Fixture::new();
+    fixture.store.set_fault(Fault::AnswersLost);
+    assert!(matches!(fixture.submit("k1", "j1"), Reply::Unclear(_)));
+    fixture.store.set_fault(Fault::None);
+    assert_eq!(fixture.submit("k1", "j1"), QUEUED);
+}
+
+#[test]
+fn test_gateway_cancels_a_job_that_may_still_be_stored() {
+    let fixture = Fixture::new();
+    assert_eq!(
+        fixture.call("k1", "/q/j1", Operation::Cancel),
+        Reply::NoSuchJob
+    );
+    let id = id::JobId::new("j1").unwrap();
+    assert!(fixture.store.value(&rows::cancel(&id)).is_some());
+}
+
+#[test]
+fn test_gateway_shows_a_job_to_its_own_account_only() {
+    let fixture = Fixture::new();
+    fixture.submit("k1", "j1");
+    assert_eq!(fixture.call("k1", "/q/j1", Operation::Read), QUEUED);
+    assert_eq!(
+        fixture.call("k2", "/q/j1", Operation::Read),
+        Reply::NoSuchJob
+    );
+    assert_eq!(
+        fixture.call("k2", "/q/j1", Operation::Cancel),
+        Reply::NoSuchJob
+    );
+    assert_eq!(
+        fixture.call("k3", "/q/j1", Operation::Read),
+        Reply::Unauthenticated
+    );
+    assert_eq!(
+        fixture.call("k1", "/x/j1", Operation::Read),
+        Reply::NoSuchQueue
+    );
+}
+
+#[test]
+fn test_gateway_counts_waiting_jobs_itself_without_a_scheduler() {
+    let fixture = Fixture::new();
+    fixture.submit("k1", "j1");
+    fixture.submit("k1", "j2");
+    assert_eq!(
+        fixture.call("k1", "/q/", Operation::Read),
+        Reply::Waiting(2)
+    );
+}
+
+#[test]
+fn test_gateway_terms_never_go_back() {
+    let fixture = Fixture::new();
+    fixture.gateway.board.offer(&OneQueue, "7", "test");
+    fixture.gateway.board.offer(&OneQueue, "3", "test");
+    assert_eq!(fixture.gateway.board.version(), id::TermsVersion(7));
+}
--- /dev/null
+++ b/lib/host/tests/test_leadership.rs
@@ -0,0 +1,141 @@
+//! The lease of the scheduler against lost answers, suspension and other candidates.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use async_std::task::block_on;
+use camphorbeam_clock as clock;
+use camphorbeam_host::leadership::{
+    Candidate, Holder, Renewal, Standby, Watched, HOLDER_LEASE, LEASE, RENEWAL,
+};
+use camphorbeam_model::id;
+use camphorbeam_platform::memory_store::{Fault, MemoryStore};
+
+fn candidate(host: &str, process: &str) -> Candidate {
+    Candidate {
+        host: id::HostId::new(host).unwrap(),
+        process: process.into(),
+        processor_share: 1.0,
+    }
+}
+
+fn look(standby: Standby, store: &MemoryStore) -> Watched {
+    match block_on(standby.look(store)) {
+        Ok(watched) => watched,
+        Err((standby, _)) => Watched::Standby(standby),
+    }
+}
+
+fn holder(watched: Watched) -> Holder {
+    match watched {
+        Watched::Holder(holder) => holder,
+        Watched::Standby(_) => panic!("the lease was not taken"),
+    }
+}
+
+fn standby(watched: Watched) -> Standby {
+    match watched {
+        Watched::Standby(standby) => standby,
+        Watched::Holder(_) => panic!("the lease was taken"),
+    }
+}
+
+fn renew(holder: &mut Holder, store: &MemoryStore) -> Renewal {
+    block_on(holder.renew(store, BTreeMap::new()))
+}
+
+#[test]
+fn test_leadership_goes_to_one_of_two_candidates() {
+    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let first = Standby::new(candidate("a", "1"), clock.clone());
+    let second = Standby::new(candidate("b", "2"), clock);
+    let first = holder(look(first, &store));
+    standby(look(second, &store));
+    assert_eq!(first.epoch(), id::Epoch(1));
+}
+
+#[test]
+fn test_leadership_is_not_taken_from_a_holder_that_renews() {
+    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let mut first = holder(look(
+        Standby::new(candidate("a", "1"), clock.clone()),
+        &store,
+    ));
+    let mut second = Standby::new(candidate("b", "2"), clock);
+    for _ in 0..20 {
+        second = standby(look(second, &store));
+        time.advance(RENEWAL);
+        assert_eq!(renew(&mut first, &store), Renewal::Renewed);
+    }
+}
+
+#[test]
+fn test_leadership_passes_on_with_a_higher_epoch_and_the_old_holder_learns_it() {
+    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let mut first = holder(look(
+        Standby::new(candidate("a", "1"), clock.clone()),
+        &store,
+    ));
+    let second = standby(look(Standby::new(candidate("b", "2"), clock), &store));
+    time.advance(LEASE);
+    let second = holder(look(second, &store));
+    assert_eq!(second.epoch(), id::Epoch(2));
+    assert_eq!(renew(&mut first, &store), Renewal::Lost);
+}
+
+#[test]
+fn test_leadership_of_the_holder_ends_before_another_takes_it() {
+    assert!(HOLDER_LEASE < LEASE);
+}
+
+#[test]
+fn test_leadership_handed_back_is_taken_at_once() {
+    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let mut first = holder(look(
+        Standby::new(candidate("a", "1"), clock.clone()),
+        &store,
+    ));
+    assert_eq!(block_on(first.release(&store)), Renewal::Renewed);
+    holder(look(Standby::new(candidate("b", "2"), clock), &store));
+}
+
+#[test]
+fn test_leadership_of_an_earlier_process_of_the_same_host_is_taken_at_once() {
+    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    holder(look(
+        Standby::new(candidate("a", "1"), clock.clone()),
+        &store,
+    ));
+    holder(look(Standby::new(candidate("a", "2"), clock), &store));
+}
+
+#[test]
+fn test_leadership_outlives_renewals_whose_answers_are_lost() {
+    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let mut first = holder(look(Standby::new(candidate("a", "1"), clock), &store));
+    store.set_fault(Fault::AnswersLost);
+    assert!(matches!(renew(&mut first, &store), Renewal::Unconfirmed(_)));
+    store.set_fault(Fault::None);
+    time.advance(Duration::from_millis(200));
+    // The first try adopts the version of the lost renewal, the second renews.
+    assert!(matches!(renew(&mut first, &store), Renewal::Unconfirmed(_)));
+    assert_eq!(renew(&mut first, &store), Renewal::Renewed);
+}
+
+#[test]
+fn test_leadership_is_not_won_back_by_a_renewal_that_is_applied_late() {
+    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let mut first = holder(look(
+        Standby::new(candidate("a", "1"), clock.clone()),
+        &store,
+    ));
+    let second = standby(look(Standby::new(candidate("b", "2"), clock), &store));
+    store.set_fault(Fault::Late);
+    assert!(matches!(renew(&mut first, &store), Renewal::Unconfirmed(_)));
+    store.set_fault(Fault::None);
+    time.advance(LEASE);
+    let mut second = holder(look(second, &store));
+    store.apply_late();
+    assert_eq!(renew(&mut first, &store), Renewal::Lost);
+    assert_eq!(renew(&mut second, &store), Renewal::Renewed);
+}
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -66,7 +66,7 @@
 const RESERVATION_MS: u64 = 4_000;
 
 /// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
-const PREEMPT_LOSS_RATIO: f64 = 0.35;
+const PREEMPT_LOSS_RATIO: f64 = 0.7;
 
 /// Objectives after which a job earns its caller nothing.
 const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
--- a/lib/platform/src/lib.rs
+++ b/lib/platform/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod keys;
 pub mod memory;
+pub mod memory_store;
 pub mod objects;
 pub mod settle;
 pub mod store;
--- /dev/null
+++ b/lib/platform/src/memory_store.rs
@@ -0,0 +1,206 @@
+//! The store of rows in memory, for tests and stand-ins, with faults to inject.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+
+use crate::store::{self, RowKey};
+use crate::table::PlatformError;
+
+/// What the store does with calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Serves them.
+    #[default]
+    None,
+    /// Refuses all; nothing is done.
+    Busy,
+    /// Does them and loses the answers.
+    AnswersLost,
+    /// Does not answer; writes are kept and applied by [`MemoryStore::apply_late`].
+    Late,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<RowKey, (String, u64)>,
+    log: Vec<store::Row>,
+    version: u64,
+    now_ms: u64,
+    fault: Fault,
+    late: Vec<store::Transaction>,
+    first_kept_version: u64,
+}
+
+/// A store of rows in memory. Clones share their rows.
+#[derive(Clone, Debug, Default)]
+pub struct MemoryStore {
+    state: Arc<Mutex<State>>,
+}
+
+fn lost(what: &str) -> PlatformError {
+    PlatformError::Unknown {
+        reason: format!("{what} without an answer"),
+    }
+}
+
+impl State {
+    fn row(&self, key: &RowKey) -> Option<store::Row> {
+        self.rows.get(key).map(|(value, version)| store::Row {
+            key: key.clone(),
+            value: Some(value.clone()),
+            version: *version,
+        })
+    }
+
+    fn apply(&mut self, transaction: &store::Transaction) -> store::Commit {
+        let version_of = |key: &RowKey| self.rows.get(key).map_or(0, |(_, version)| *version);
+        let holds = |condition: &store::Condition| version_of(&condition.key) == condition.version;
+        if !transaction.conditions.iter().all(holds) {
+            let conditions = transaction.conditions.iter();
+            let rows = conditions.filter_map(|condition| self.row(&condition.key));
+            return store::Commit::Conflict {
+                rows: rows.collect(),
+            };
+        }
+        self.version += 1;
+        let version = self.version;
+        for (key, value) in &transaction.writes {
+            self.rows.insert(key.clone(), (value.clone(), version));
+            self.log.extend(self.row(key));
+        }
+        for key in &transaction.removals {
+            self.rows.remove(key);
+            self.log.push(store::Row {
+                key: key.clone(),
+                value: None,
+                version,
+            });
+        }
+        store::Commit::Applied { version }
+    }
+}
+
+impl MemoryStore {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets what the store does with calls from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        self.lock().fault = fault;
+    }
+
+    /// Moves the store's clock.
+    pub fn advance(&self, duration: Duration) {
+        let duration_ms = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+        self.lock().now_ms += duration_ms;
+    }
+
+    /// Applies the writes that were left without an answer, if their conditions still hold.
+    pub fn apply_late(&self) {
+        let mut state = self.lock();
+        for transaction in std::mem::take(&mut state.late) {
+            state.apply(&transaction);
+        }
+    }
+
+    /// Forgets the history of changes.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.first_kept_version = state.version;
+        state.log.clear();
+    }
+
+    /// The value of a row.
+    pub fn value(&self, key: &RowKey) -> Option<String> {
+        self.lock().rows.get(key).map(|(value, _)| value.clone())
+    }
+
+    /// Writes a row as another writer.
+    pub fn put(&self, key: &RowKey, value: &str) {
+        let transaction = store::Transaction {
+            writes: vec![(key.clone(), value.to_owned())],
+            ..store::Transaction::default()
+        };
+        self.lock().apply(&transaction);
+    }
+}
+
+#[async_trait]
+impl store::Store for MemoryStore {
+    async fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        let state = self.lock();
+        match state.fault {
+            Fault::None => {}
+            Fault::Busy => {
+                return Err(PlatformError::NotApplied {
+                    reason: "busy".to_owned(),
+                })
+            }
+            Fault::AnswersLost | Fault::Late => return Err(lost("a read")),
+        }
+        let is_meant = |key: &&RowKey| {
+            key.table == table
+                && key.part == part
+                && key.key.as_str() >= from
+                && (to.is_empty() || key.key.as_str() < to)
+        };
+        let keys: Vec<RowKey> = state.rows.keys().filter(is_meant).cloned().collect();
+        Ok(store::Rows {
+            rows: keys.iter().filter_map(|key| state.row(key)).collect(),
+            version: state.version,
+            store_ms: state.now_ms,
+        })
+    }
+
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError> {
+        let mut state = self.lock();
+        match state.fault {
+            Fault::None => Ok(state.apply(transaction)),
+            Fault::Busy => Err(PlatformError::NotApplied {
+                reason: "busy".to_owned(),
+            }),
+            Fault::AnswersLost => {
+                state.apply(transaction);
+                Err(lost("a write"))
+            }
+            Fault::Late => {
+                state.late.push(transaction.clone());
+                Err(lost("a write"))
+            }
+        }
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        version: u64,
+        _wait: Duration,
+    ) -> Result<store::Changes, PlatformError> {
+        let state = self.lock();
+        if state.fault != Fault::None {
+            return Err(lost("a feed"));
+        }
+        if version < state.first_kept_version {
+            return Ok(store::Changes::HistoryGone);
+        }
+        let is_new = |row: &&store::Row| row.key.table == table && row.version > version;
+        Ok(store::Changes::Rows(store::Rows {
+            rows: state.log.iter().filter(is_new).cloned().collect(),
+            version: state.version,
+            store_ms: state.now_ms,
+        }))
+    }
+}
