--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -22,6 +22,10 @@
 /// is told when to come back, rather than kept waiting.
 const REACH_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// Time for which a call tries to learn what became of a write. The same call may be made again at
+/// another host, which meets what was stored.
+const UNCLEAR_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// Wait between two tries at the store.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -163,9 +167,15 @@
             writes: vec![(rows::job(id), text)],
             removals: Vec::new(),
         };
+        if !self.store.is_reached() {
+            return store_away(&PlatformError::NotApplied {
+                reason: "not reached for some time".to_owned(),
+            });
+        }
         let mut may_be_stored = false;
+        let limit = UNCLEAR_LIMIT.min(budget.limit);
         loop {
-            let error = match self.store.commit(&transaction).await {
+            let error = match self.commit(&transaction, limit, budget).await {
                 Ok(store::Commit::Applied { .. }) => {
                     return Reply::State(progress::JobState::Queued)
                 }
@@ -175,13 +185,33 @@
             may_be_stored |= !matches!(error, PlatformError::NotApplied { .. });
             let elapsed = self.elapsed(budget);
             match may_be_stored {
-                true if elapsed >= budget.limit => return Reply::Unclear(error.to_string()),
-                false if elapsed >= REACH_LIMIT.min(budget.limit) => return store_away(&error),
+                true if elapsed >= limit => return Reply::Unclear(error.to_string()),
+                false if elapsed >= REACH_LIMIT.min(limit) => return store_away(&error),
                 _ => self.clock.sleep(RETRY).await,
             }
         }
     }
 
+    /// Writes, for as long as is left of `limit`.
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+        limit: Duration,
+        budget: &Budget,
+    ) -> Result<store::Commit, PlatformError> {
+        let left = limit.saturating_sub(self.elapsed(budget));
+        match self
+            .clock
+            .timeout(left, self.store.commit(transaction))
+            .await
+        {
+            Ok(committed) => committed,
+            Err(elapsed) => Err(PlatformError::Unknown {
+                reason: elapsed.to_string(),
+            }),
+        }
+    }
+
     async fn state(&self, admitted: &Admitted<'_>, id: &id::JobId, budget: &Budget) -> Reply {
         match self.read(&rows::progress(id), budget).await {
             Ok(Some(row)) => match parse::<progress::Progress>(&row) {
@@ -220,7 +250,7 @@
             removals: Vec::new(),
         };
         loop {
-            match self.store.commit(&transaction).await {
+            match self.commit(&transaction, budget.limit, budget).await {
                 Ok(_) if is_known => return Reply::State(progress::JobState::Cancelled),
                 Ok(_) => return Reply::NoSuchJob,
                 Err(error) if self.elapsed(budget) >= budget.limit => {
@@ -285,7 +315,15 @@
         budget: &Budget,
     ) -> Result<(Option<store::Row>, u64), PlatformError> {
         loop {
-            match store::read_row(&*self.store, key).await {
+            let left = budget.limit.saturating_sub(self.elapsed(budget));
+            let reading = store::read_row(&*self.store, key);
+            let read = match self.clock.timeout(left, reading).await {
+                Ok(read) => read,
+                Err(elapsed) => Err(PlatformError::Unknown {
+                    reason: elapsed.to_string(),
+                }),
+            };
+            match read {
                 Ok((row, rows)) => return Ok((row, rows.store_ms)),
                 Err(error) if self.elapsed(budget) >= budget.limit => return Err(error),
                 Err(_) => self.clock.sleep(RETRY).await,
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -62,15 +62,21 @@
 
 impl Fixture {
     fn new() -> Self {
-        let fixture = Self::without_terms();
+        Self::with_clock(clock::Clock::system())
+    }
+
+    /// A host that has terms and has reached the store.
+    fn with_clock(clock: clock::Clock) -> Self {
+        let fixture = Self::without_terms(clock);
         fixture.gateway.board.offer(&OneQueue, "1", "test");
+        let key = rows::lease();
+        block_on(store::read_row(&*fixture.gateway.store, &key)).unwrap();
         fixture
     }
 
-    fn without_terms() -> Self {
+    fn without_terms(clock: clock::Clock) -> Self {
         let own: SocketAddr = ([127, 0, 0, 1], 1).into();
         let store = MemoryStore::default();
-        let clock = clock::Clock::system();
         let ways = relay::RelayedStore::new(
             Arc::new(store.clone()),
             Arc::new(peers::Peers::new(own, &[])),
@@ -122,7 +128,7 @@
 
 #[test]
 fn test_gateway_without_terms_refuses_for_now() {
-    let fixture = Fixture::without_terms();
+    let fixture = Fixture::without_terms(clock::Clock::system());
     assert!(matches!(fixture.submit("k1", "j1"), Reply::NotNow { .. }));
 }
 
@@ -143,6 +149,17 @@
     assert!(!fixture.is_stored("j1"));
 }
 
+#[test]
+fn test_gateway_refuses_at_once_while_the_store_has_been_away_for_some_time() {
+    let (clock, time) = clock::Clock::manual(0);
+    let fixture = Fixture::with_clock(clock);
+    fixture.store.set_fault(Fault::Late);
+    time.advance(std::time::Duration::from_secs(3));
+    assert!(matches!(fixture.submit("k1", "j1"), Reply::NotNow { .. }));
+    fixture.store.apply_late();
+    assert!(!fixture.is_stored("j1"));
+}
+
 #[test]
 fn test_gateway_does_not_refuse_what_may_be_stored_later() {
     let fixture = Fixture::new();
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -118,7 +118,11 @@
             self.order_start(&id, index, now);
         }
         for (id, index) in given_up {
-            self.want_stop(&id, index, "start without an answer", now);
+            // The other members of a gang would wait for it in vain.
+            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
+            for member in members {
+                self.want_stop(&id, member, "start without an answer", now);
+            }
         }
     }
 
