--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -13,6 +13,9 @@
 use crate::progress::{JobState, TaskState};
 use crate::server::{self, Server};
 
+/// Time between two looks at all runs: what they wait for takes longer by far.
+const SCAN_INTERVAL_MS: u64 = 50;
+
 /// Longest time that a start order without an answer is sent again before the run is stopped.
 const START_TRIES_MS: u64 = 1_600;
 
@@ -74,10 +77,13 @@
 impl Engine {
     /// Decides what to start and to stop.
     pub fn decide(&mut self, now: Now) {
-        self.retry_orders(now);
-        self.lose_lapsed(now);
-        self.stop_stalled(now);
-        self.move_crawling(now);
+        if now.ms >= self.next_scan_ms {
+            self.next_scan_ms = now.ms + SCAN_INTERVAL_MS;
+            self.retry_orders(now);
+            self.lose_lapsed(now);
+            self.stop_stalled(now);
+            self.move_crawling(now);
+        }
         self.place_all(now);
     }
 
@@ -179,12 +185,12 @@
                 let is_stalled = matches!(live.phase, Phase::Present { .. })
                     && !step.is_lasting
                     && heard_ms.saturating_sub(live.progress_ms) > limit_ms;
-                let is_lowest = job
-                    .unit_of(*index)
-                    .members()
-                    .filter_map(|member| job.runs.get(&member))
-                    .all(|other| other.percent >= live.percent);
-                if is_stalled && is_lowest {
+                let is_lowest = || {
+                    let members = job.unit_of(*index).members();
+                    let mut others = members.filter_map(|member| job.runs.get(&member));
+                    others.all(|other| other.percent >= live.percent)
+                };
+                if is_stalled && is_lowest() {
                     stalled.push((job.id.clone(), *index, live.server.clone()));
                 }
             }
@@ -518,12 +524,7 @@
     ) -> Demand<'a> {
         let job = &self.jobs[id];
         let step = job.step(unit.first);
-        let avoided: BTreeSet<id::BackendServerId> = self
-            .servers
-            .keys()
-            .filter(|server| self.health.has_failed_on(id, server))
-            .cloned()
-            .collect();
+        let avoided = self.health.failed_on(id);
         let avoided = match avoided.len() > AVOIDED_MAX {
             true => BTreeSet::new(),
             false => avoided,
@@ -589,6 +590,8 @@
             if let Some(known) = self.servers.get_mut(&server) {
                 known.used = known.used.plus(&need);
             }
+            let located = self.located.entry(server.clone()).or_default();
+            located.insert((id.clone(), index));
             let mut live = LiveRun::recorded(server, run, need, generation);
             live.is_resumed = !job.progress.task(index).checkpoint.is_empty();
             job.runs.insert(index, live);
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -1,6 +1,6 @@
 //! The state of the scheduler and the events that change it.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use camphorbeam_model::{fleet, id, job, terms};
@@ -72,6 +72,9 @@
     pub(crate) speeds: speeds::Speeds,
     pub(crate) headroom: headroom::Headroom,
     pub(crate) claims: Claims,
+    /// Runs that may exist, by server.
+    pub(crate) located: BTreeMap<id::BackendServerId, BTreeSet<(id::JobId, job::TaskIndex)>>,
+    pub(crate) next_scan_ms: u64,
     pub(crate) orders: Vec<Order>,
     pub(crate) notes: Vec<Note>,
     pub(crate) is_deposed: bool,
@@ -209,8 +212,9 @@
                     self.unregistered.entry(on.clone()).or_insert(now.ms);
                 }
             }
-            job.runs
-                .insert(index, LiveRun::inherited(on, run, need, now.ms));
+            self.locate(&on, &job.id, index);
+            let live = LiveRun::inherited(on, run, need, now.ms);
+            job.runs.insert(index, live);
         }
     }
 
@@ -296,6 +300,9 @@
         if let Some(server) = self.servers.get_mut(&live.server) {
             server.used = server.used.minus(&live.need);
         }
+        if let Some(located) = self.located.get_mut(&live.server) {
+            located.remove(&(id.clone(), index));
+        }
         let record = job.progress.task_mut(index);
         match record.state {
             TaskState::Started => {
@@ -313,6 +320,7 @@
         let is_over = !server.is_listed && now.ms > server.lapse_ms(&settings);
         if is_over && server.used == job::Resources::default() {
             self.servers.remove(id);
+            self.located.remove(id);
             return None;
         }
         let is_first = server.clock.is_none();
@@ -420,13 +428,19 @@
 
     /// Runs that may exist on a server.
     pub(crate) fn runs_on(&self, id: &id::BackendServerId) -> Vec<(id::JobId, job::TaskIndex)> {
-        self.jobs
-            .values()
-            .flat_map(|job| {
-                let on_it = job.runs.iter().filter(|(_, live)| &live.server == id);
-                on_it.map(|(index, _)| (job.id.clone(), *index))
-            })
-            .collect()
+        let located = self.located.get(id);
+        located.map_or_else(Vec::new, |runs| runs.iter().cloned().collect())
+    }
+
+    /// Notes that a run may exist on a server.
+    pub(crate) fn locate(
+        &mut self,
+        server: &id::BackendServerId,
+        job: &id::JobId,
+        index: job::TaskIndex,
+    ) {
+        let located = self.located.entry(server.clone()).or_default();
+        located.insert((job.clone(), index));
     }
 
     /// Takes in the answer to a start order.
--- a/lib/jobs/src/health.rs
+++ b/lib/jobs/src/health.rs
@@ -86,11 +86,9 @@
             .is_some_and(|standing| !standing.jobs.is_empty() || standing.pause_ms > 0)
     }
 
-    /// Whether a run of `job` failed on `server`.
-    pub fn has_failed_on(&self, job: &id::JobId, server: &id::BackendServerId) -> bool {
-        self.failed_on
-            .get(job)
-            .is_some_and(|servers| servers.contains(server))
+    /// Servers on which a run of `job` failed.
+    pub fn failed_on(&self, job: &id::JobId) -> BTreeSet<id::BackendServerId> {
+        self.failed_on.get(job).cloned().unwrap_or_default()
     }
 
     /// Forgets `job` after its end.
