jobs: claims, replies and watch are modules of their own; late jobs preempt nothing

decide.rs, engine.rs and the model were over 700 lines: what concerns promised servers, answers to orders, and the passing of time is moved, not changed. One change: an urgent job that is late anyway stops no other work.

--- /dev/null
+++ b/lib/fleet-model/src/work.rs
@@ -0,0 +1,193 @@
+//! How the modelled servers work, and what must hold of it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphorbeam_jobs::note::Note;
+use camphorbeam_jobs::orders::{EndEntry, EndKind, RunName};
+use camphorbeam_model::{id, job};
+
+use crate::{
+    close, saved_text, World, CHECKPOINT_EVERY_MS, CORES_PER_ACCELERATOR, FAR_RATIO, STEP_MS,
+};
+
+impl World {
+    /// Lets tasks progress and ends those that are finished, stopped or lapsed.
+    pub(crate) fn work(&mut self) {
+        let mut gangs: BTreeMap<(id::JobId, u32, id::Run), Vec<(String, RunName)>> =
+            BTreeMap::new();
+        for (on, server) in &self.servers {
+            for run in server.running.keys() {
+                let alone = match self.spec(run).is_gang {
+                    true => 0,
+                    false => run.task.index.rank + 1,
+                };
+                let step = run.task.index.step * 10_000 + alone;
+                gangs
+                    .entry((run.task.job.clone(), step, run.run))
+                    .or_default()
+                    .push((on.clone(), run.clone()));
+            }
+        }
+        for members in gangs.into_values() {
+            self.work_unit(&members);
+        }
+    }
+
+    /// Lets the members of a gang, or one task, progress for a step, and ends them together.
+    pub(crate) fn work_unit(&mut self, members: &[(String, RunName)]) {
+        let spec = self.spec(&members[0].1).clone();
+        let is_whole = !spec.is_gang || members.len() == spec.task_count as usize;
+        let racks: BTreeSet<_> = members
+            .iter()
+            .map(|(on, _)| self.servers[on].entry.rack().cloned())
+            .collect();
+        let is_far = (spec.wants_one_rack && racks.len() > 1)
+            || spec
+                .data_rack
+                .as_ref()
+                .is_some_and(|rack| !racks.contains(&Some(rack.clone())));
+        let truth = self
+            .truths
+            .get(&members[0].1.task.job)
+            .cloned()
+            .unwrap_or_default();
+        let now_ms = self.now_ms;
+        let mut kind = None;
+        let mut is_all_done = true;
+        for (on, run) in members {
+            let work_ms = truth.work_ms.get(&run.task.index).copied();
+            let work_ms = work_ms.unwrap_or(spec.estimate_ms).max(1);
+            let server = self.servers.get_mut(on).unwrap();
+            let speed = if server.hangs {
+                0.0
+            } else {
+                server.speed_ratio
+            };
+            let far = if is_far { FAR_RATIO } else { 1.0 };
+            let rate = speed * STEP_MS as f64 * 100.0 / (work_ms as f64 * far);
+            let lapsed = now_ms > server.lease_until_ms;
+            let fails = server.fails_all;
+            let state = server.running.get_mut(run).unwrap();
+            state.worked_ms += STEP_MS as f64;
+            state.unsaved_ms += STEP_MS as f64;
+            if is_whole && now_ms >= state.restored_ms {
+                state.percent = (state.percent + rate).min(100.0);
+            }
+            if spec.is_checkpointing && state.unsaved_ms >= CHECKPOINT_EVERY_MS {
+                state.saved_percent = state.percent;
+                state.unsaved_ms = 0.0;
+            }
+            let ended = match () {
+                () if lapsed => Some(EndKind::Lapsed),
+                () if state.stop_at_ms.is_some_and(|at_ms| now_ms >= at_ms) => {
+                    Some(EndKind::Stopped)
+                }
+                () if fails => Some(EndKind::Failed),
+                () if state.percent >= 50.0 && truth.is_hopeless => Some(EndKind::Failed),
+                () if state.percent >= 100.0 => Some(EndKind::Done),
+                () => None,
+            };
+            is_all_done &= ended == Some(EndKind::Done);
+            kind = kind.or(ended.filter(|ended| *ended != EndKind::Done));
+            if let (Some(ended), false) = (ended, spec.is_gang) {
+                self.end(on, run, ended);
+            }
+        }
+        // Members wait for the slowest and finish together.
+        let kind = kind.or((is_all_done && is_whole).then_some(EndKind::Done));
+        if let (Some(kind), true) = (kind, spec.is_gang) {
+            for (number, (on, run)) in members.iter().enumerate() {
+                let of_member = match (kind, number) {
+                    (EndKind::Done, _) | (_, 0) => kind,
+                    _ => EndKind::Broken,
+                };
+                self.end(on, run, of_member);
+            }
+        }
+    }
+
+    pub(crate) fn end(&mut self, on: &str, run: &RunName, kind: EndKind) {
+        let need = self.need(run);
+        let is_checkpointing = self.spec(run).is_checkpointing;
+        let now_ms = self.now_ms;
+        let server = self.servers.get_mut(on).unwrap();
+        let Some(state) = server.running.remove(run) else {
+            return;
+        };
+        let mut state = state;
+        if is_checkpointing && kind == EndKind::Stopped {
+            state.saved_percent = state.percent;
+            state.unsaved_ms = 0.0;
+        }
+        if kind != EndKind::Done {
+            let lost_ms = match is_checkpointing {
+                true => state.unsaved_ms,
+                false => state.worked_ms,
+            };
+            let cores = need.cpu_millicores as f64 / 1_000.0
+                + CORES_PER_ACCELERATOR * need.accelerators as f64;
+            self.lost_core_s += cores * lost_ms / 1_000.0;
+        }
+        server.ended_runs.insert(run.task.clone(), run.run);
+        let number = server.next_end;
+        server.next_end += 1;
+        let checkpoint = match is_checkpointing {
+            true => saved_text(&state),
+            false => String::new(),
+        };
+        server.ended.push(EndEntry {
+            number,
+            name: run.clone(),
+            kind,
+            checkpoint: checkpoint.into(),
+        });
+        close(&mut self.seen, run, on, now_ms, Some(kind));
+    }
+
+    /// What was decided about a task, and about all servers.
+    pub fn story(&self, task: &job::TaskName) -> String {
+        let of_task = |note: &Note| match note {
+            Note::Placed { job, .. } => job == &task.job,
+            Note::Ended {
+                job, task: index, ..
+            }
+            | Note::Stopping {
+                job, task: index, ..
+            } => job == &task.job && index == &task.index,
+            Note::State { job, .. } => job == &task.job,
+            Note::Server { .. } => true,
+        };
+        let lines = self.notes.iter().filter(|(_, note)| of_task(note));
+        lines
+            .map(|(at_ms, note)| format!("{at_ms} {note:?}\n"))
+            .collect()
+    }
+
+    /// Fails if two runs of one task overlapped, or one started after a finished one was stored.
+    pub fn assert_no_task_twice(&self) {
+        for (number, one) in self.seen.iter().enumerate() {
+            for other in &self.seen[number + 1..] {
+                if one.name.task != other.name.task {
+                    continue;
+                }
+                let end_ms = one.to_ms.unwrap_or(u64::MAX);
+                assert!(
+                    other.from_ms >= end_ms,
+                    "two runs at the same time: {one:?} and {other:?}\n{}",
+                    self.story(&one.name.task)
+                );
+                // An order that was sent twice may run in two lives of its server, unless the end
+                // of the first was acknowledged.
+                let is_after_crash = other.server == one.server
+                    && other.life > one.life
+                    && other.name.run == one.name.run
+                    && !one.is_acknowledged;
+                assert!(
+                    other.name.run > one.name.run || is_after_crash,
+                    "run numbers went back: {one:?}, {other:?}\n{}",
+                    self.story(&one.name.task)
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/jobs/src/claims.rs
@@ -0,0 +1,252 @@
+//! Servers promised to units: by a preemption until what runs there has ended, or by a reservation
+//! for a gang that has waited long.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphorbeam_model::id;
+
+use crate::decide::{self, CRAWLING_RATIO, HOPELESS_SPEED_RATIO};
+use crate::engine::{Engine, Now};
+use crate::live::{LiveRun, Phase};
+use crate::open_job::{OpenJob, Unit};
+use crate::placement::Board;
+use crate::preemption::{self, Claim, Victim};
+
+/// How long a claim on servers holds beyond the time that stops take.
+const CLAIM_MARGIN_MS: u64 = 700;
+
+/// Share of a job's objective after which a gang that does not fit gets servers reserved.
+const RESERVE_AFTER_RATIO: f64 = 0.25;
+
+/// How long a reservation holds before it is made anew where the gang then fits soonest.
+const RESERVATION_MS: u64 = 4_000;
+
+/// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
+const PREEMPT_LOSS_RATIO: f64 = 0.7;
+
+impl Engine {
+    /// Drops claims whose unit no longer waits or whose time is over.
+    pub(crate) fn drop_claims(&mut self, queue: &[(id::JobId, Unit)], now: Now) {
+        if self.claims.is_empty() {
+            return;
+        }
+        let waiting: BTreeSet<_> = queue.iter().cloned().collect();
+        self.claims
+            .retain(|unit, claim| waiting.contains(unit) && now.ms < claim.until_ms);
+    }
+
+    /// Whether a gang that is not urgent has servers reserved.
+    pub(crate) fn has_reservation(&self) -> bool {
+        let mut claims = self.claims.keys();
+        claims.any(|(id, _)| self.jobs[id].accepted.terms.priority > 0)
+    }
+
+    /// Reserves servers for a gang that has waited long, where it fits soonest. Without that, small
+    /// units take each server as it becomes free, and a wide gang never starts.
+    pub(crate) fn reserve(
+        &mut self,
+        id: &id::JobId,
+        unit: Unit,
+        board: &mut Board,
+        guaranteed: &BTreeSet<id::ClientAccountName>,
+        now: Now,
+    ) -> bool {
+        let job = &self.jobs[id];
+        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+        let patience_ms = (job.objective_ms() as f64 * RESERVE_AFTER_RATIO) as u64;
+        if unit.count == 1 || job.accepted.terms.priority == 0 || waited_ms < patience_ms {
+            return false;
+        }
+        let need = job.step(unit.first).need;
+        let choice = {
+            let mut demand = self.demand(id, unit, guaranteed, now);
+            demand.speed_min_ratio = CRAWLING_RATIO;
+            preemption::soonest(board, &demand, &self.expected_ends(board))
+        };
+        let Some(choice) = choice else {
+            return false;
+        };
+        let servers = choice
+            .iter()
+            .map(|&place| board.slots[place].server.clone());
+        let claim = Claim {
+            servers: servers.collect(),
+            need,
+            until_ms: now.ms + RESERVATION_MS,
+        };
+        for &place in &choice {
+            board.take(place, &need);
+        }
+        self.claims.insert((id.clone(), unit), claim);
+        true
+    }
+
+    /// When each run is expected to end, from now, and what it frees where.
+    pub(crate) fn expected_ends(&self, board: &Board) -> Vec<preemption::ExpectedEnd> {
+        let mut ends = Vec::new();
+        for job in self.jobs.values() {
+            for (index, live) in &job.runs {
+                let Some(place) = board.place_of(&live.server) else {
+                    continue;
+                };
+                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
+                let estimate_ms = job.step(*index).estimate_ms as f64;
+                let speed_ratio = board.slots[place].speed_ratio.max(CRAWLING_RATIO);
+                ends.push(preemption::ExpectedEnd {
+                    in_ms: (left * estimate_ms / speed_ratio) as u64,
+                    place,
+                    need: live.need,
+                });
+            }
+        }
+        ends.sort_by_key(|end| end.in_ms);
+        ends
+    }
+
+    /// Starts claimants whose servers are free and keeps the others' servers for them.
+    pub(crate) fn place_claims(&mut self, board: &mut Board, is_urgent: bool, now: Now) {
+        let claims: Vec<_> = self
+            .claims
+            .iter()
+            .filter(|((id, _), _)| is_urgent == (self.jobs[id].accepted.terms.priority == 0))
+            .map(|(unit, claim)| (unit.clone(), claim.clone()))
+            .collect();
+        for ((id, unit), claim) in claims {
+            let places: Option<Vec<usize>> = claim
+                .servers
+                .iter()
+                .map(|server| board.place_of(server))
+                .collect();
+            let Some(places) = places else {
+                self.claims.remove(&(id, unit));
+                continue;
+            };
+            let mut after = board.clone();
+            let mut fits = true;
+            for &place in &places {
+                fits &= after.slots[place].free.holds(&claim.need);
+                after.take(place, &claim.need);
+            }
+            match fits {
+                true => {
+                    self.claims.remove(&(id.clone(), unit));
+                    self.start_unit(&id, unit, &places, board, now);
+                }
+                false => *board = after,
+            }
+        }
+    }
+
+    /// Units that urgent work may stop: of lower priority, at work, and not lasting.
+    pub(crate) fn victims(&self, board: &Board, now: Now) -> Vec<Victim> {
+        let places: BTreeMap<&id::BackendServerId, usize> = board
+            .slots
+            .iter()
+            .enumerate()
+            .map(|(place, slot)| (&slot.server, place))
+            .collect();
+        let mut victims: BTreeMap<(id::JobId, Unit), Victim> = BTreeMap::new();
+        let lower = self
+            .jobs
+            .values()
+            .filter(|job| job.accepted.terms.priority > 0);
+        for job in lower {
+            for (index, live) in &job.runs {
+                let step = job.step(*index);
+                if !live.is_wanted() || step.is_lasting {
+                    continue;
+                }
+                let Some(&place) = places.get(&live.server) else {
+                    continue;
+                };
+                let unit = job.unit_of(*index);
+                let victim = victims
+                    .entry((job.id.clone(), unit))
+                    .or_insert_with(|| Victim {
+                        job: job.id.clone(),
+                        unit,
+                        holds: Vec::new(),
+                        lost_core_s: 0.0,
+                    });
+                victim.holds.push((place, live.need));
+                victim.lost_core_s += lost_core_s(job, live, now);
+            }
+        }
+        victims.into_values().collect()
+    }
+
+    /// Stops lower work so that an urgent unit can start, if that is owed or worth it.
+    pub(crate) fn preempt(
+        &mut self,
+        id: &id::JobId,
+        unit: Unit,
+        board: &mut Board,
+        mut victims: Vec<Victim>,
+        guaranteed: &BTreeSet<id::ClientAccountName>,
+        now: Now,
+    ) -> Vec<Victim> {
+        let job = &self.jobs[id];
+        let step = job.step(unit.first);
+        let need = step.need;
+        let served_core_s =
+            preemption::core_seconds(&need, step.estimate_ms) * f64::from(unit.count);
+        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+        let is_owed =
+            guaranteed.contains(&job.accepted.account) && 2 * waited_ms > self.settings.reclaim_ms;
+        let plan = {
+            let demand = self.demand(id, unit, guaranteed, now);
+            preemption::plan(board, &demand, &victims)
+        };
+        // A job that is late anyway is not worth the work of others.
+        let is_late = decide::needed_speed_ratio(job, unit, now) > HOPELESS_SPEED_RATIO;
+        let plan = plan.filter(|plan| {
+            let is_cheap = plan.lost_core_s <= PREEMPT_LOSS_RATIO * served_core_s;
+            is_owed || (is_cheap && !is_late)
+        });
+        let Some(plan) = plan else {
+            return victims;
+        };
+        let servers: Vec<_> = plan
+            .choice
+            .iter()
+            .map(|&place| board.slots[place].server.clone())
+            .collect();
+        let mut chosen = plan.victims;
+        chosen.sort_unstable();
+        for &number in chosen.iter().rev() {
+            let victim = victims.swap_remove(number);
+            for (place, held) in &victim.holds {
+                let slot = &mut board.slots[*place];
+                slot.free = slot.free.plus(held);
+            }
+            for index in victim.unit.members() {
+                self.want_stop(&victim.job, index, "preempted", now);
+            }
+        }
+        for &place in &plan.choice {
+            board.take(place, &need);
+        }
+        let until_ms = now.ms + self.settings.stop_ms + CLAIM_MARGIN_MS;
+        let claim = Claim {
+            servers,
+            need,
+            until_ms,
+        };
+        self.claims.insert((id.clone(), unit), claim);
+        victims
+    }
+}
+
+fn lost_core_s(job: &OpenJob, live: &LiveRun, now: Now) -> f64 {
+    let worked_ms = match live.phase {
+        Phase::Present { since_ms } => now.ms.saturating_sub(since_ms),
+        _ => 0,
+    };
+    let is_checkpointing = job
+        .accepted
+        .spec
+        .steps
+        .iter()
+        .any(|step| step.is_checkpointing);
+    preemption::core_seconds(&live.need, preemption::lost_ms(worked_ms, is_checkpointing))
+}
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -1,34 +1,21 @@
-//! The decisions that time or a change of state calls for.
+//! What starts where: the order of units, and the servers that each gets.
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use camphorbeam_model::{id, job};
+use camphorbeam_model::id;
 
-use crate::engine::{self, Engine, Now, Order, ORDER_RETRY_MS};
-use crate::live::{LiveRun, Phase};
+use crate::engine::{Engine, Now};
+use crate::live::LiveRun;
 use crate::note::Note;
 use crate::open_job::{OpenJob, Unit};
 use crate::placement::{Board, Demand, Slot};
-use crate::preemption::{self, Claim, Victim};
+use crate::preemption::Victim;
 use crate::progress::{JobState, TaskState};
-use crate::server::{self, Server};
+use crate::server::Server;
 
 /// Time between two looks at all runs: what they wait for takes longer by far.
 const SCAN_INTERVAL_MS: u64 = 50;
 
-/// Longest time that a start order without an answer is sent again before the run is stopped.
-const START_TRIES_MS: u64 = 1_600;
-
-/// Silence of a task's progress after which it counts as stalled. A sound task of the longest
-/// kind makes a percent of progress within a third of this.
-const STALL_MS: u64 = 3_000;
-
-/// The same for tasks with an estimate below [`SHORT_TASK_MS`].
-const SHORT_STALL_MS: u64 = 2_200;
-
-/// Estimate below which a task counts as short.
-const SHORT_TASK_MS: u64 = 5_000;
-
 /// Allowance for estimates that are too short when the speed is chosen that a job needs.
 const ESTIMATE_MARGIN_RATIO: f64 = 1.15;
 
@@ -36,22 +23,13 @@
 const NEEDED_SPEED_MAX_RATIO: f64 = 0.95;
 
 /// Needed speed, relative to the median, above which no server brings a job in time.
-const HOPELESS_SPEED_RATIO: f64 = 1.6;
+pub(crate) const HOPELESS_SPEED_RATIO: f64 = 1.6;
 
 /// Needed speed below which a job leaves the fast servers to others.
 const PATIENT_SPEED_RATIO: f64 = 0.6;
 
 /// Speed below which a server is avoided by all work, and left if that pays.
-const CRAWLING_RATIO: f64 = 0.3;
-
-/// Time of work after which a run on a crawling server may be moved.
-const CRAWL_MIN_MS: u64 = 2_500;
-
-/// A run is moved if what is left takes that many times its whole work elsewhere.
-const CRAWL_MOVE_RATIO: f64 = 1.5;
-
-/// How long a server on which a task stalls gets no work.
-const STALL_PAUSE_MS: u64 = 6_000;
+pub(crate) const CRAWLING_RATIO: f64 = 0.3;
 
 /// Distinct servers on which a job may fail before its failures no longer rule servers out.
 const AVOIDED_MAX: usize = 6;
@@ -59,18 +37,6 @@
 /// How long an urgent unit waits for room before it preempts.
 const PREEMPT_PATIENCE_MS: u64 = 100;
 
-/// How long a claim on servers holds beyond the time that stops take.
-const CLAIM_MARGIN_MS: u64 = 700;
-
-/// Share of a job's objective after which a gang that does not fit gets servers reserved.
-const RESERVE_AFTER_RATIO: f64 = 0.25;
-
-/// How long a reservation holds before it is made anew where the gang then fits soonest.
-const RESERVATION_MS: u64 = 4_000;
-
-/// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
-const PREEMPT_LOSS_RATIO: f64 = 0.7;
-
 /// Objectives after which a job earns its caller nothing.
 const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
@@ -87,153 +53,6 @@
         self.place_all(now);
     }
 
-    fn retry_orders(&mut self, now: Now) {
-        let mut starts = Vec::new();
-        let mut given_up = Vec::new();
-        for job in self.jobs.values_mut() {
-            for (index, live) in &mut job.runs {
-                match live.phase {
-                    Phase::Ordered {
-                        since_ms,
-                        retry_ms: Some(_),
-                    } if now.ms > since_ms + START_TRIES_MS => {
-                        given_up.push((job.id.clone(), *index));
-                    }
-                    Phase::Ordered {
-                        since_ms,
-                        retry_ms: Some(retry_ms),
-                    } if now.ms >= retry_ms => {
-                        live.phase = Phase::Ordered {
-                            since_ms,
-                            retry_ms: Some(now.ms + 4 * ORDER_RETRY_MS),
-                        };
-                        starts.push((job.id.clone(), *index));
-                    }
-                    Phase::Stopping {
-                        next_ms: Some(next_ms),
-                    } if now.ms >= next_ms => {
-                        live.phase = Phase::Stopping { next_ms: None };
-                        let name = engine::run_name(&job.id, *index, live.run);
-                        self.orders.push(Order::Stop(live.server.clone(), name));
-                    }
-                    _ => {}
-                }
-            }
-        }
-        for (id, index) in starts {
-            self.order_start(&id, index, now);
-        }
-        for (id, index) in given_up {
-            // The other members of a gang would wait for it in vain.
-            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
-            for member in members {
-                self.want_stop(&id, member, "start without an answer", now);
-            }
-        }
-    }
-
-    /// Counts runs as gone on servers that are silent and whose leases have passed.
-    fn lose_lapsed(&mut self, now: Now) {
-        let settings = self.settings;
-        let mut lapsed: Vec<id::BackendServerId> = self
-            .servers
-            .values()
-            .filter(|server| {
-                let is_occupied = server.used != job::Resources::default();
-                is_occupied && now.ms > server.lapse_ms(&settings)
-            })
-            .map(|server| server.entry.id.clone())
-            .collect();
-        let unheard: Vec<id::BackendServerId> = self
-            .unregistered
-            .iter()
-            .filter(|(_, since_ms)| now.ms > server::unheard_lapse_ms(**since_ms, &settings))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in unheard {
-            self.unregistered.remove(&id);
-            lapsed.push(id);
-        }
-        for id in lapsed {
-            let runs = self.runs_on(&id);
-            self.notes.push(Note::Server {
-                server: id.clone(),
-                belief: "gone or lapsed",
-                runs: runs.len(),
-            });
-            for (job, index) in runs {
-                self.lose(&job, index, now);
-            }
-        }
-    }
-
-    /// Stops runs without progress on servers that answer, so that they run elsewhere.
-    fn stop_stalled(&mut self, now: Now) {
-        let mut stalled: Vec<(id::JobId, job::TaskIndex, id::BackendServerId)> = Vec::new();
-        for job in self.jobs.values() {
-            for (index, live) in &job.runs {
-                let step = job.step(*index);
-                let limit_ms = match step.estimate_ms < SHORT_TASK_MS {
-                    true => SHORT_STALL_MS,
-                    false => STALL_MS,
-                };
-                let heard_ms = self
-                    .servers
-                    .get(&live.server)
-                    .and_then(|server| server.replied_ms)
-                    .unwrap_or(0);
-                let is_stalled = matches!(live.phase, Phase::Present { .. })
-                    && !step.is_lasting
-                    && heard_ms.saturating_sub(live.progress_ms) > limit_ms;
-                let is_lowest = || {
-                    let members = job.unit_of(*index).members();
-                    let mut others = members.filter_map(|member| job.runs.get(&member));
-                    others.all(|other| other.percent >= live.percent)
-                };
-                if is_stalled && is_lowest() {
-                    stalled.push((job.id.clone(), *index, live.server.clone()));
-                }
-            }
-        }
-        for (id, index, server) in stalled {
-            self.health.set_aside(&server, now.ms + STALL_PAUSE_MS);
-            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
-            for member in members {
-                self.want_stop(&id, member, "no progress", now);
-            }
-        }
-    }
-
-    /// Stops runs on servers that have turned slow, if they finish sooner elsewhere.
-    fn move_crawling(&mut self, now: Now) {
-        let median = self.speeds.median(self.servers.keys());
-        let mut moved: Vec<(id::JobId, job::TaskIndex)> = Vec::new();
-        for job in self.jobs.values() {
-            for (index, live) in &job.runs {
-                let Phase::Present { since_ms } = live.phase else {
-                    continue;
-                };
-                let step = job.step(*index);
-                let speed_ratio = self.speeds.ratio(&live.server) / median;
-                let worked_ms = now.ms.saturating_sub(since_ms);
-                let is_crawling = speed_ratio < CRAWLING_RATIO && worked_ms > CRAWL_MIN_MS;
-                if !is_crawling || step.is_lasting {
-                    continue;
-                }
-                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
-                if left / speed_ratio > CRAWL_MOVE_RATIO {
-                    moved.push((job.id.clone(), *index));
-                }
-            }
-        }
-        for (id, index) in moved {
-            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
-            for member in members {
-                self.want_stop(&id, member, "server has turned slow", now);
-            }
-        }
-    }
-
     fn board(&self, now: Now) -> Board {
         let median = self.speeds.median(self.servers.keys());
         let slots = self
@@ -388,118 +207,6 @@
         })
     }
 
-    /// Drops claims whose unit no longer waits or whose time is over.
-    fn drop_claims(&mut self, queue: &[(id::JobId, Unit)], now: Now) {
-        if self.claims.is_empty() {
-            return;
-        }
-        let waiting: BTreeSet<_> = queue.iter().cloned().collect();
-        self.claims
-            .retain(|unit, claim| waiting.contains(unit) && now.ms < claim.until_ms);
-    }
-
-    /// Whether a gang that is not urgent has servers reserved.
-    fn has_reservation(&self) -> bool {
-        let mut claims = self.claims.keys();
-        claims.any(|(id, _)| self.jobs[id].accepted.terms.priority > 0)
-    }
-
-    /// Reserves servers for a gang that has waited long, where it fits soonest. Without that, small
-    /// units take each server as it becomes free, and a wide gang never starts.
-    fn reserve(
-        &mut self,
-        id: &id::JobId,
-        unit: Unit,
-        board: &mut Board,
-        guaranteed: &BTreeSet<id::ClientAccountName>,
-        now: Now,
-    ) -> bool {
-        let job = &self.jobs[id];
-        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
-        let patience_ms = (job.objective_ms() as f64 * RESERVE_AFTER_RATIO) as u64;
-        if unit.count == 1 || job.accepted.terms.priority == 0 || waited_ms < patience_ms {
-            return false;
-        }
-        let need = job.step(unit.first).need;
-        let choice = {
-            let mut demand = self.demand(id, unit, guaranteed, now);
-            demand.speed_min_ratio = CRAWLING_RATIO;
-            preemption::soonest(board, &demand, &self.expected_ends(board))
-        };
-        let Some(choice) = choice else {
-            return false;
-        };
-        let servers = choice
-            .iter()
-            .map(|&place| board.slots[place].server.clone());
-        let claim = Claim {
-            servers: servers.collect(),
-            need,
-            until_ms: now.ms + RESERVATION_MS,
-        };
-        for &place in &choice {
-            board.take(place, &need);
-        }
-        self.claims.insert((id.clone(), unit), claim);
-        true
-    }
-
-    /// When each run is expected to end, from now, and what it frees where.
-    fn expected_ends(&self, board: &Board) -> Vec<preemption::ExpectedEnd> {
-        let mut ends = Vec::new();
-        for job in self.jobs.values() {
-            for (index, live) in &job.runs {
-                let Some(place) = board.place_of(&live.server) else {
-                    continue;
-                };
-                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
-                let estimate_ms = job.step(*index).estimate_ms as f64;
-                let speed_ratio = board.slots[place].speed_ratio.max(CRAWLING_RATIO);
-                ends.push(preemption::ExpectedEnd {
-                    in_ms: (left * estimate_ms / speed_ratio) as u64,
-                    place,
-                    need: live.need,
-                });
-            }
-        }
-        ends.sort_by_key(|end| end.in_ms);
-        ends
-    }
-
-    /// Starts claimants whose servers are free and keeps the others' servers for them.
-    fn place_claims(&mut self, board: &mut Board, is_urgent: bool, now: Now) {
-        let claims: Vec<_> = self
-            .claims
-            .iter()
-            .filter(|((id, _), _)| is_urgent == (self.jobs[id].accepted.terms.priority == 0))
-            .map(|(unit, claim)| (unit.clone(), claim.clone()))
-            .collect();
-        for ((id, unit), claim) in claims {
-            let places: Option<Vec<usize>> = claim
-                .servers
-                .iter()
-                .map(|server| board.place_of(server))
-                .collect();
-            let Some(places) = places else {
-                self.claims.remove(&(id, unit));
-                continue;
-            };
-            let mut after = board.clone();
-            let mut fits = true;
-            for &place in &places {
-                fits &= after.slots[place].free.holds(&claim.need);
-                after.take(place, &claim.need);
-            }
-            match fits {
-                true => {
-                    self.claims.remove(&(id.clone(), unit));
-                    self.start_unit(&id, unit, &places, board, now);
-                }
-                false => *board = after,
-            }
-        }
-    }
-
     /// Accounts whose open urgent jobs are within their guarantee.
     fn guaranteed_accounts(&self) -> BTreeSet<id::ClientAccountName> {
         let mut wanted: BTreeMap<&id::ClientAccountName, u64> = BTreeMap::new();
@@ -515,7 +222,7 @@
             .collect()
     }
 
-    fn demand<'a>(
+    pub(crate) fn demand<'a>(
         &'a self,
         id: &id::JobId,
         unit: Unit,
@@ -560,7 +267,7 @@
         }
     }
 
-    fn start_unit(
+    pub(crate) fn start_unit(
         &mut self,
         id: &id::JobId,
         unit: Unit,
@@ -606,101 +313,6 @@
             waited_ms: now.ms.saturating_sub(job.accepted_ms),
         });
     }
-
-    /// Units that urgent work may stop: of lower priority, at work, and not lasting.
-    fn victims(&self, board: &Board, now: Now) -> Vec<Victim> {
-        let places: BTreeMap<&id::BackendServerId, usize> = board
-            .slots
-            .iter()
-            .enumerate()
-            .map(|(place, slot)| (&slot.server, place))
-            .collect();
-        let mut victims: BTreeMap<(id::JobId, Unit), Victim> = BTreeMap::new();
-        let lower = self
-            .jobs
-            .values()
-            .filter(|job| job.accepted.terms.priority > 0);
-        for job in lower {
-            for (index, live) in &job.runs {
-                let step = job.step(*index);
-                if !live.is_wanted() || step.is_lasting {
-                    continue;
-                }
-                let Some(&place) = places.get(&live.server) else {
-                    continue;
-                };
-                let unit = job.unit_of(*index);
-                let victim = victims
-                    .entry((job.id.clone(), unit))
-                    .or_insert_with(|| Victim {
-                        job: job.id.clone(),
-                        unit,
-                        holds: Vec::new(),
-                        lost_core_s: 0.0,
-                    });
-                victim.holds.push((place, live.need));
-                victim.lost_core_s += lost_core_s(job, live, now);
-            }
-        }
-        victims.into_values().collect()
-    }
-
-    /// Stops lower work so that an urgent unit can start, if that is owed or worth it.
-    fn preempt(
-        &mut self,
-        id: &id::JobId,
-        unit: Unit,
-        board: &mut Board,
-        mut victims: Vec<Victim>,
-        guaranteed: &BTreeSet<id::ClientAccountName>,
-        now: Now,
-    ) -> Vec<Victim> {
-        let job = &self.jobs[id];
-        let step = job.step(unit.first);
-        let need = step.need;
-        let served_core_s =
-            preemption::core_seconds(&need, step.estimate_ms) * f64::from(unit.count);
-        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
-        let is_owed =
-            guaranteed.contains(&job.accepted.account) && 2 * waited_ms > self.settings.reclaim_ms;
-        let plan = {
-            let demand = self.demand(id, unit, guaranteed, now);
-            preemption::plan(board, &demand, &victims)
-        };
-        let plan =
-            plan.filter(|plan| is_owed || plan.lost_core_s <= PREEMPT_LOSS_RATIO * served_core_s);
-        let Some(plan) = plan else {
-            return victims;
-        };
-        let servers: Vec<_> = plan
-            .choice
-            .iter()
-            .map(|&place| board.slots[place].server.clone())
-            .collect();
-        let mut chosen = plan.victims;
-        chosen.sort_unstable();
-        for &number in chosen.iter().rev() {
-            let victim = victims.swap_remove(number);
-            for (place, held) in &victim.holds {
-                let slot = &mut board.slots[*place];
-                slot.free = slot.free.plus(held);
-            }
-            for index in victim.unit.members() {
-                self.want_stop(&victim.job, index, "preempted", now);
-            }
-        }
-        for &place in &plan.choice {
-            board.take(place, &need);
-        }
-        let until_ms = now.ms + self.settings.stop_ms + CLAIM_MARGIN_MS;
-        let claim = Claim {
-            servers,
-            need,
-            until_ms,
-        };
-        self.claims.insert((id.clone(), unit), claim);
-        victims
-    }
 }
 
 /// The order of units: what can earn nothing last, then by priority, what is late anyway after
@@ -708,23 +320,9 @@
 type Rank = (bool, u32, bool, u64);
 
 /// Speed, relative to the median, that brings a job in time if the unit starts now.
-fn needed_speed_ratio(job: &OpenJob, unit: Unit, now: Now) -> f64 {
+pub(crate) fn needed_speed_ratio(job: &OpenJob, unit: Unit, now: Now) -> f64 {
     let waited_ms = now.ms.saturating_sub(job.accepted_ms);
     let left_ms = job.objective_ms().saturating_sub(waited_ms).max(1);
     let estimate_ms = job.step(unit.first).estimate_ms as f64;
     ESTIMATE_MARGIN_RATIO * estimate_ms / left_ms as f64
 }
-
-fn lost_core_s(job: &OpenJob, live: &LiveRun, now: Now) -> f64 {
-    let worked_ms = match live.phase {
-        Phase::Present { since_ms } => now.ms.saturating_sub(since_ms),
-        _ => 0,
-    };
-    let is_checkpointing = job
-        .accepted
-        .spec
-        .steps
-        .iter()
-        .any(|step| step.is_checkpointing);
-    preemption::core_seconds(&live.need, preemption::lost_ms(worked_ms, is_checkpointing))
-}
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`engine::Engine`] owns all state and is fed with events; it gives out orders and records to
 //! store. Nothing here does I/O or reads a clock.
 
+mod claims;
 mod decide;
 pub mod engine;
 pub mod headroom;
@@ -15,6 +16,8 @@
 pub mod placement;
 pub mod preemption;
 pub mod progress;
+mod replies;
 pub mod server;
 pub mod settings;
 pub mod speeds;
+mod watch;
--- /dev/null
+++ b/lib/jobs/src/replies.rs
@@ -0,0 +1,206 @@
+//! Answers to orders, and what a scheduler inherits: runs that another has recorded, and servers
+//! that start anew.
+
+use camphorbeam_model::{id, job};
+
+use crate::engine::{self, Engine, Now, Order, ORDER_RETRY_MS};
+use crate::live::{LiveRun, Phase};
+use crate::note::Note;
+use crate::open_job;
+use crate::orders::{RunName, StartOutcome, StartRefusal, StopOutcome};
+use crate::progress::TaskState;
+
+/// How long a backend server counts as full after it refused a task for want of room.
+const FULL_PAUSE_MS: u64 = 300;
+
+/// How long a backend server that says it is unwell gets no work.
+const UNWELL_PAUSE_MS: u64 = 3_000;
+
+impl Engine {
+    /// Counts the runs that an earlier scheduler has recorded as there until a hold tells.
+    pub(crate) fn inherit_runs(&mut self, job: &mut open_job::OpenJob, now: Now) {
+        let started: Vec<_> = job
+            .progress
+            .tasks
+            .iter()
+            .filter(|(_, record)| record.state == TaskState::Started)
+            .map(|(index, record)| (*index, record.run, record.server.clone()))
+            .collect();
+        for (index, run, on) in started {
+            let need = job.step(index).need;
+            let Some(on) = on else {
+                job.progress.task_mut(index).state = TaskState::Waiting;
+                job.touch();
+                continue;
+            };
+            match self.servers.get_mut(&on) {
+                Some(server) => server.used = server.used.plus(&need),
+                // It may live on behind a network partition, though the registry has dropped it.
+                None => {
+                    self.unregistered.entry(on.clone()).or_insert(now.ms);
+                }
+            }
+            self.locate(&on, &job.id, index);
+            let live = LiveRun::inherited(on, run, need, now.ms);
+            job.runs.insert(index, live);
+        }
+    }
+
+    /// Rules out orders that the new life of a server may still carry out. What ran in the earlier
+    /// life is found by the lists: a run may also have been started in the new one already.
+    pub(crate) fn meet_new_life(&mut self, id: &id::BackendServerId, now: Now) {
+        let on_it = self.runs_on(id);
+        self.notes.push(Note::Server {
+            server: id.clone(),
+            belief: "started anew",
+            runs: on_it.len(),
+        });
+        for (job, index) in on_it {
+            let live = &self.jobs[&job].runs[&index];
+            let name = engine::run_name(&job, index, live.run);
+            let server = self.servers.get(id);
+            let is_unclear = server.is_some_and(|server| server.is_unclear(&name, now.ms));
+            if is_unclear && matches!(live.phase, Phase::Stopped { .. }) {
+                self.stop_again(&job, index, now);
+            }
+        }
+        // The same for runs that are over.
+        let unclear = self
+            .servers
+            .get(id)
+            .map(|server| server.unclear_starts.clone());
+        for name in unclear.unwrap_or_default().into_keys() {
+            let is_wanted = self
+                .jobs
+                .get(&name.task.job)
+                .and_then(|job| job.runs.get(&name.task.index))
+                .is_some_and(|live| live.run == name.run && live.is_wanted());
+            if !is_wanted {
+                self.orders.push(Order::Stop(id.clone(), name));
+            }
+        }
+    }
+
+    pub(crate) fn stop_again(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        if let Some(live) = live {
+            live.phase = Phase::Stopping {
+                next_ms: Some(now.ms),
+            };
+        }
+    }
+
+    /// Takes in the answer to a start order.
+    pub fn start_reply(&mut self, name: &RunName, outcome: &StartOutcome, now: Now) {
+        let (id, index) = (&name.task.job, name.task.index);
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        let Some(live) = live.filter(|live| live.run == name.run) else {
+            return;
+        };
+        let server = live.server.clone();
+        match (outcome, live.phase) {
+            (StartOutcome::Present, Phase::Ordered { .. }) => {
+                live.become_present(now.ms);
+                self.begin(id);
+            }
+            (StartOutcome::Unknown { .. }, Phase::Ordered { since_ms, .. }) => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.note_unclear_start(name, now.ms);
+                }
+                live.phase = Phase::Ordered {
+                    since_ms,
+                    retry_ms: Some(now.ms + ORDER_RETRY_MS),
+                };
+            }
+            (StartOutcome::Refused(refusal), phase) => {
+                self.start_refused(id, index, *refusal, phase, &server, now);
+            }
+            // A hold has told more already, or a stop is under way.
+            (StartOutcome::Present | StartOutcome::Unknown { .. }, _) => {}
+        }
+    }
+
+    /// Notes that a task of the job is at work.
+    pub(crate) fn begin(&mut self, id: &id::JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.has_begun = true;
+        }
+    }
+
+    pub(crate) fn start_refused(
+        &mut self,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        refusal: StartRefusal,
+        phase: Phase,
+        on: &id::BackendServerId,
+        now: Now,
+    ) {
+        match refusal {
+            StartRefusal::Fenced => {
+                self.is_deposed = true;
+                return;
+            }
+            StartRefusal::NoRoom => {
+                if let Some(server) = self.servers.get_mut(on) {
+                    server.full_until_ms = now.ms + FULL_PAUSE_MS;
+                }
+            }
+            StartRefusal::Unhealthy | StartRefusal::OtherServer | StartRefusal::Invalid => {
+                self.health.set_aside(on, now.ms + UNWELL_PAUSE_MS);
+            }
+            StartRefusal::Outdated | StartRefusal::Late => {}
+        }
+        if refusal == StartRefusal::Outdated {
+            // It has been there and has ended, or was stopped: the next hold tells which.
+            self.await_end(id, index, now);
+            return;
+        }
+        // An earlier copy of the order may have got through.
+        let was_sent_once = matches!(phase, Phase::Ordered { retry_ms: None, since_ms }
+            if now.ms < since_ms + ORDER_RETRY_MS);
+        match was_sent_once {
+            true => self.lose(id, index, now),
+            false => self.want_stop(id, index, "start refused", now),
+        }
+    }
+
+    /// Counts a run as ending: a hold sent from now on lists its end, or it never was.
+    pub(crate) fn await_end(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        if let Some(live) = live {
+            live.phase = Phase::Stopped { since_ms: now.ms };
+        }
+    }
+
+    /// Takes in the answer to a stop order.
+    pub fn stop_reply(&mut self, name: &RunName, outcome: &StopOutcome, now: Now) {
+        let (id, index) = (&name.task.job, name.task.index);
+        let live = self
+            .jobs
+            .get_mut(id)
+            .and_then(|job| job.runs.get_mut(&index));
+        match (outcome, live) {
+            (StopOutcome::Fenced, _) => self.is_deposed = true,
+            (_, None) => {}
+            (_, Some(live)) if live.run != name.run => {}
+            (StopOutcome::Accepted, Some(live)) => {
+                live.phase = Phase::Stopped { since_ms: now.ms };
+            }
+            (StopOutcome::OtherServer | StopOutcome::Unknown { .. }, Some(live)) => {
+                live.phase = Phase::Stopping {
+                    next_ms: Some(now.ms + ORDER_RETRY_MS),
+                };
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/jobs/src/watch.rs
@@ -0,0 +1,181 @@
+//! What time does to runs: orders that are sent again, servers that have lapsed, tasks that make no
+//! progress.
+
+use camphorbeam_model::{id, job};
+
+use crate::decide::CRAWLING_RATIO;
+use crate::engine::{self, Engine, Now, Order, ORDER_RETRY_MS};
+use crate::live::Phase;
+use crate::note::Note;
+use crate::server;
+
+/// Longest time that a start order without an answer is sent again before the run is stopped.
+const START_TRIES_MS: u64 = 1_600;
+
+/// Silence of a task's progress after which it counts as stalled. A sound task of the longest
+/// kind makes a percent of progress within a third of this.
+const STALL_MS: u64 = 3_000;
+
+/// The same for tasks with an estimate below [`SHORT_TASK_MS`].
+const SHORT_STALL_MS: u64 = 2_200;
+
+/// Estimate below which a task counts as short.
+const SHORT_TASK_MS: u64 = 5_000;
+
+/// Time of work after which a run on a crawling server may be moved.
+const CRAWL_MIN_MS: u64 = 2_500;
+
+/// A run is moved if what is left takes that many times its whole work elsewhere.
+const CRAWL_MOVE_RATIO: f64 = 1.5;
+
+/// How long a server on which a task stalls gets no work.
+const STALL_PAUSE_MS: u64 = 6_000;
+
+impl Engine {
+    pub(crate) fn retry_orders(&mut self, now: Now) {
+        let mut starts = Vec::new();
+        let mut given_up = Vec::new();
+        for job in self.jobs.values_mut() {
+            for (index, live) in &mut job.runs {
+                match live.phase {
+                    Phase::Ordered {
+                        since_ms,
+                        retry_ms: Some(_),
+                    } if now.ms > since_ms + START_TRIES_MS => {
+                        given_up.push((job.id.clone(), *index));
+                    }
+                    Phase::Ordered {
+                        since_ms,
+                        retry_ms: Some(retry_ms),
+                    } if now.ms >= retry_ms => {
+                        live.phase = Phase::Ordered {
+                            since_ms,
+                            retry_ms: Some(now.ms + 4 * ORDER_RETRY_MS),
+                        };
+                        starts.push((job.id.clone(), *index));
+                    }
+                    Phase::Stopping {
+                        next_ms: Some(next_ms),
+                    } if now.ms >= next_ms => {
+                        live.phase = Phase::Stopping { next_ms: None };
+                        let name = engine::run_name(&job.id, *index, live.run);
+                        self.orders.push(Order::Stop(live.server.clone(), name));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        for (id, index) in starts {
+            self.order_start(&id, index, now);
+        }
+        for (id, index) in given_up {
+            // The other members of a gang would wait for it in vain.
+            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
+            for member in members {
+                self.want_stop(&id, member, "start without an answer", now);
+            }
+        }
+    }
+
+    /// Counts runs as gone on servers that are silent and whose leases have passed.
+    pub(crate) fn lose_lapsed(&mut self, now: Now) {
+        let settings = self.settings;
+        let mut lapsed: Vec<id::BackendServerId> = self
+            .servers
+            .values()
+            .filter(|server| {
+                let is_occupied = server.used != job::Resources::default();
+                is_occupied && now.ms > server.lapse_ms(&settings)
+            })
+            .map(|server| server.entry.id.clone())
+            .collect();
+        let unheard: Vec<id::BackendServerId> = self
+            .unregistered
+            .iter()
+            .filter(|(_, since_ms)| now.ms > server::unheard_lapse_ms(**since_ms, &settings))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in unheard {
+            self.unregistered.remove(&id);
+            lapsed.push(id);
+        }
+        for id in lapsed {
+            let runs = self.runs_on(&id);
+            self.notes.push(Note::Server {
+                server: id.clone(),
+                belief: "gone or lapsed",
+                runs: runs.len(),
+            });
+            for (job, index) in runs {
+                self.lose(&job, index, now);
+            }
+        }
+    }
+
+    /// Stops runs without progress on servers that answer, so that they run elsewhere.
+    pub(crate) fn stop_stalled(&mut self, now: Now) {
+        let mut stalled: Vec<(id::JobId, job::TaskIndex, id::BackendServerId)> = Vec::new();
+        for job in self.jobs.values() {
+            for (index, live) in &job.runs {
+                let step = job.step(*index);
+                let limit_ms = match step.estimate_ms < SHORT_TASK_MS {
+                    true => SHORT_STALL_MS,
+                    false => STALL_MS,
+                };
+                let heard_ms = self
+                    .servers
+                    .get(&live.server)
+                    .and_then(|server| server.replied_ms)
+                    .unwrap_or(0);
+                let is_stalled = matches!(live.phase, Phase::Present { .. })
+                    && !step.is_lasting
+                    && heard_ms.saturating_sub(live.progress_ms) > limit_ms;
+                let is_lowest = || {
+                    let members = job.unit_of(*index).members();
+                    let mut others = members.filter_map(|member| job.runs.get(&member));
+                    others.all(|other| other.percent >= live.percent)
+                };
+                if is_stalled && is_lowest() {
+                    stalled.push((job.id.clone(), *index, live.server.clone()));
+                }
+            }
+        }
+        for (id, index, server) in stalled {
+            self.health.set_aside(&server, now.ms + STALL_PAUSE_MS);
+            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
+            for member in members {
+                self.want_stop(&id, member, "no progress", now);
+            }
+        }
+    }
+
+    /// Stops runs on servers that have turned slow, if they finish sooner elsewhere.
+    pub(crate) fn move_crawling(&mut self, now: Now) {
+        let median = self.speeds.median(self.servers.keys());
+        let mut moved: Vec<(id::JobId, job::TaskIndex)> = Vec::new();
+        for job in self.jobs.values() {
+            for (index, live) in &job.runs {
+                let Phase::Present { since_ms } = live.phase else {
+                    continue;
+                };
+                let step = job.step(*index);
+                let speed_ratio = self.speeds.ratio(&live.server) / median;
+                let worked_ms = now.ms.saturating_sub(since_ms);
+                let is_crawling = speed_ratio < CRAWLING_RATIO && worked_ms > CRAWL_MIN_MS;
+                if !is_crawling || step.is_lasting {
+                    continue;
+                }
+                let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
+                if left / speed_ratio > CRAWL_MOVE_RATIO {
+                    moved.push((job.id.clone(), *index));
+                }
+            }
+        }
+        for (id, index) in moved {
+            let members: Vec<_> = self.jobs[&id].unit_of(index).members().collect();
+            for member in members {
+                self.want_stop(&id, member, "server has turned slow", now);
+            }
+        }
+    }
+}
