leadership: a weak host leaves a free lease to stronger ones

Change: strength is registered and compared, whole looks are waited. Tests: test_leadership, three new ones.

--- a/lib/host/src/leadership.rs
+++ b/lib/host/src/leadership.rs
@@ -24,12 +24,13 @@
 /// its count ends first though clocks differ in speed.
 pub const HOLDER_LEASE: Duration = Duration::from_millis(2_800);
 
-/// How much longer a host with little processor time waits before it takes a free lease, for each
-/// core that it lacks, so that a strong host comes first.
-const WEAKNESS_DELAY_PER_CORE: Duration = Duration::from_millis(1_500);
+/// Shares of the strongest host's processor time below which a host leaves a free lease to others
+/// for one look, and for two.
+const WEAK_RATIOS: [f64; 2] = [0.67, 0.34];
 
-/// Processor time from which a host counts as strong, in cores.
-const STRONG_CORES: f64 = 0.25;
+/// Time after the first look in which a lease that nobody has ever held is left alone, so that all
+/// hosts of a new system have told their strength.
+const FIRST_WAIT: Duration = Duration::from_millis(600);
 
 /// Who we are.
 #[derive(Clone, Debug)]
@@ -43,12 +44,36 @@
 }
 
 impl Candidate {
-    fn delay(&self) -> Duration {
-        let lacking = (STRONG_CORES - self.processor_share).max(0.0);
-        WEAKNESS_DELAY_PER_CORE.mul_f64(lacking)
+    /// How much longer than others this host waits for a free lease, if the strongest host has
+    /// `strongest` cores: scheduling takes more than the weakest hosts have.
+    fn delay(&self, strongest: f64) -> Duration {
+        let ratio = self.processor_share / strongest.max(self.processor_share);
+        let looks = WEAK_RATIOS.iter().filter(|limit| ratio < **limit).count();
+        RENEWAL * u32::try_from(looks).unwrap_or(0)
     }
 }
 
+/// Processor time of the strongest host that is registered; none if that can't be read.
+async fn strongest<S: Store + ?Sized>(store: &S) -> f64 {
+    let known = match store
+        .rows(rows::HOSTS_TABLE, rows::HOSTS_PART, "", "")
+        .await
+    {
+        Ok(known) => known,
+        Err(error) => {
+            let reason = error.to_string();
+            spdlog::warn!("hosts not read before a takeover", kv: { reason = reason.as_str() });
+            return 0.0;
+        }
+    };
+    let hosts = known
+        .rows
+        .iter()
+        .filter_map(|row| parse::<rows::HostRow>(Some(row)));
+    let fresh = hosts.filter(|host| host.is_fresh(known.store_ms));
+    fresh.map(|host| host.processor_share).fold(0.0, f64::max)
+}
+
 /// A lease row as it was seen.
 #[derive(Clone, Debug)]
 struct Seen {
@@ -150,15 +175,20 @@
             row.holder.as_ref() == Some(&self.candidate.host)
                 && row.process != self.candidate.process
         });
-        let free_after = match is_released || is_our_earlier_process {
-            true => self.candidate.delay(),
-            false => LEASE + self.candidate.delay(),
+        let free_after = match () {
+            () if lease_row.is_none() => FIRST_WAIT,
+            () if is_released || is_our_earlier_process => Duration::ZERO,
+            () => LEASE,
         };
-        let is_free = now.since(first_seen) >= free_after;
+        let free_for = now.since(first_seen).checked_sub(free_after);
         self.seen = Some(Seen {
             version,
             at: first_seen,
         });
+        let is_free = match free_for {
+            Some(free_for) => free_for >= self.candidate.delay(strongest(store).await),
+            None => false,
+        };
         match is_free {
             true => self.take(store, &control, find(&rows::epoch())).await,
             false => Ok(Watched::Standby(self)),
--- a/lib/host/src/registry.rs
+++ b/lib/host/src/registry.rs
@@ -15,9 +15,6 @@
 /// Wait after a failure.
 const RETRY: Duration = Duration::from_millis(500);
 
-/// Age from which a row belongs to a host that is gone.
-const STALE_AFTER_MS: u64 = 60_000;
-
 /// Registers this host and learns of the others, for ever.
 pub async fn run(
     settings: settings::Settings,
@@ -50,7 +47,7 @@
     for row in &known.rows {
         let text = row.value.as_deref().unwrap_or_default();
         match serde_json::from_str::<rows::HostRow>(text) {
-            Ok(host) if host.store_ms + STALE_AFTER_MS < known.store_ms => {
+            Ok(host) if !host.is_fresh(known.store_ms) => {
                 stale.push(row.key.clone());
             }
             Ok(host) => addresses.push(host.peer_address),
@@ -61,6 +58,7 @@
     let own = rows::HostRow {
         peer_address: settings.peer_address,
         zone: settings.zone.clone(),
+        processor_share: settings.processor_share,
         store_ms: known.store_ms,
     };
     let Ok(text) = serde_json::to_string(&own) else {
--- a/lib/host/src/rows.rs
+++ b/lib/host/src/rows.rs
@@ -134,10 +134,23 @@
     pub peer_address: SocketAddr,
     /// Its availability zone.
     pub zone: id::ZoneName,
+    /// Processor time that it has, in cores.
+    #[serde(default)]
+    pub processor_share: f64,
     /// The store's clock when it was written.
     pub store_ms: u64,
 }
 
+/// Age from which a host's row belongs to a host that is gone.
+pub const HOST_STALE_AFTER_MS: u64 = 60_000;
+
+impl HostRow {
+    /// Whether the host has written it lately, by the store's clock.
+    pub fn is_fresh(&self, store_ms: u64) -> bool {
+        self.store_ms + HOST_STALE_AFTER_MS >= store_ms
+    }
+}
+
 /// The value of the lease row.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct LeaseRow {
--- a/lib/host/tests/test_leadership.rs
+++ b/lib/host/tests/test_leadership.rs
@@ -8,6 +8,7 @@
 use camphorbeam_host::leadership::{
     Candidate, Holder, Renewal, Standby, Watched, HOLDER_LEASE, LEASE, RENEWAL,
 };
+use camphorbeam_host::rows;
 use camphorbeam_model::id;
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
 
@@ -19,6 +20,32 @@
     }
 }
 
+/// A store in which the lease has been held and handed back before.
+fn used_store() -> MemoryStore {
+    let store = MemoryStore::default();
+    let released = rows::LeaseRow {
+        holder: None,
+        process: "0".into(),
+        epoch: id::Epoch(0),
+        token: "t".into(),
+        store_ms: 0,
+        waiting: BTreeMap::new(),
+    };
+    store.put(&rows::lease(), &serde_json::to_string(&released).unwrap());
+    store
+}
+
+fn register(store: &MemoryStore, host: &str, processor_share: f64) {
+    let row = rows::HostRow {
+        peer_address: ([127, 0, 0, 1], 1).into(),
+        zone: id::ZoneName::new("z").unwrap(),
+        processor_share,
+        store_ms: 0,
+    };
+    let host = id::HostId::new(host).unwrap();
+    store.put(&rows::host(&host), &serde_json::to_string(&row).unwrap());
+}
+
 fn look(standby: Standby, store: &MemoryStore) -> Watched {
     match block_on(standby.look(store)) {
         Ok(watched) => watched,
@@ -46,7 +73,7 @@
 
 #[test]
 fn test_leadership_goes_to_one_of_two_candidates() {
-    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, _time)) = (used_store(), clock::Clock::manual(0));
     let first = Standby::new(candidate("a", "1"), clock.clone());
     let second = Standby::new(candidate("b", "2"), clock);
     let first = holder(look(first, &store));
@@ -56,7 +83,7 @@
 
 #[test]
 fn test_leadership_is_not_taken_from_a_holder_that_renews() {
-    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
     let mut first = holder(look(
         Standby::new(candidate("a", "1"), clock.clone()),
         &store,
@@ -71,7 +98,7 @@
 
 #[test]
 fn test_leadership_passes_on_with_a_higher_epoch_and_the_old_holder_learns_it() {
-    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
     let mut first = holder(look(
         Standby::new(candidate("a", "1"), clock.clone()),
         &store,
@@ -90,7 +117,7 @@
 
 #[test]
 fn test_leadership_handed_back_is_taken_at_once() {
-    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, _time)) = (used_store(), clock::Clock::manual(0));
     let mut first = holder(look(
         Standby::new(candidate("a", "1"), clock.clone()),
         &store,
@@ -101,7 +128,7 @@
 
 #[test]
 fn test_leadership_of_an_earlier_process_of_the_same_host_is_taken_at_once() {
-    let (store, (clock, _time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, _time)) = (used_store(), clock::Clock::manual(0));
     holder(look(
         Standby::new(candidate("a", "1"), clock.clone()),
         &store,
@@ -111,7 +138,7 @@
 
 #[test]
 fn test_leadership_outlives_renewals_whose_answers_are_lost() {
-    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
     let mut first = holder(look(Standby::new(candidate("a", "1"), clock), &store));
     store.set_fault(Fault::AnswersLost);
     assert!(matches!(renew(&mut first, &store), Renewal::Unconfirmed(_)));
@@ -124,7 +151,7 @@
 
 #[test]
 fn test_leadership_is_not_won_back_by_a_renewal_that_is_applied_late() {
-    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
     let mut first = holder(look(
         Standby::new(candidate("a", "1"), clock.clone()),
         &store,
@@ -139,3 +166,42 @@
     assert_eq!(renew(&mut first, &store), Renewal::Lost);
     assert_eq!(renew(&mut second, &store), Renewal::Renewed);
 }
+
+#[test]
+fn test_leadership_of_a_new_system_waits_until_hosts_have_registered() {
+    let (store, (clock, time)) = (MemoryStore::default(), clock::Clock::manual(0));
+    let first = standby(look(Standby::new(candidate("a", "1"), clock), &store));
+    time.advance(RENEWAL);
+    holder(look(first, &store));
+}
+
+#[test]
+fn test_leadership_is_left_to_a_strong_host() {
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
+    register(&store, "strong", 1.0);
+    let weak = Candidate {
+        processor_share: 0.2,
+        ..candidate("weak", "1")
+    };
+    let weak = standby(look(Standby::new(weak, clock.clone()), &store));
+    time.advance(RENEWAL);
+    let weak = standby(look(weak, &store));
+    holder(look(Standby::new(candidate("strong", "2"), clock), &store));
+    time.advance(RENEWAL);
+    standby(look(weak, &store));
+}
+
+#[test]
+fn test_leadership_is_taken_by_a_weak_host_if_no_strong_one_does() {
+    let (store, (clock, time)) = (used_store(), clock::Clock::manual(0));
+    register(&store, "strong", 1.0);
+    let weak = Candidate {
+        processor_share: 0.2,
+        ..candidate("weak", "1")
+    };
+    let mut weak = standby(look(Standby::new(weak, clock), &store));
+    time.advance(RENEWAL);
+    weak = standby(look(weak, &store));
+    time.advance(RENEWAL);
+    holder(look(weak, &store));
+}
