scheduler: a refusal as leaving outlasts the next sync

A sync that was under way said that the server was not leaving and cleared what its refusal had told; with nothing else running each attempt went to the same server, eight of them within 20 s. Ruled out: load (it fails without), and a slow list (the refusal is what the case is about). Change: a refusal is kept until the server is fenced anew.

--- a/lib/scheduler/src/links.rs
+++ b/lib/scheduler/src/links.rs
@@ -72,6 +72,7 @@
     zone.update_server(server, |entry| {
         entry.link = Link::Up(contact);
         entry.is_leaving = inventory.is_leaving;
+        entry.has_refused_as_leaving = false;
         entry.silent_since = None;
     });
     stop_orphans(zone, server, orders, orphans).await
@@ -269,7 +270,7 @@
                 self.depose();
             }
             orders::OrderError::Refused(orders::OrderRefusal::Leaving) => {
-                self.update_server(server, |entry| entry.is_leaving = true);
+                self.update_server(server, |entry| entry.has_refused_as_leaving = true);
             }
             orders::OrderError::Refused(_) => {}
             orders::OrderError::NotSent { .. } | orders::OrderError::Unknown { .. } => {
--- a/lib/scheduler/src/server.rs
+++ b/lib/scheduler/src/server.rs
@@ -21,6 +21,8 @@
     pub is_drained: bool,
     /// Whether it says that it is leaving.
     pub is_leaving: bool,
+    /// Whether it has refused work because it is leaving. Its syncs need not say so.
+    pub has_refused_as_leaving: bool,
     /// Whether the host list has it.
     pub is_listed: bool,
     /// Since when it has not answered.
@@ -73,6 +75,7 @@
     pub fn health(&self) -> policy::Health {
         let is_closed = self.is_drained
             || self.is_leaving
+            || self.has_refused_as_leaving
             || self.info.phase == cluster::HostPhase::Leaving
             || !matches!(self.link, Link::Up(_));
         match () {
--- a/lib/scheduler/src/server_set.rs
+++ b/lib/scheduler/src/server_set.rs
@@ -85,6 +85,7 @@
             link: server::Link::Unfenced,
             is_drained,
             is_leaving: false,
+            has_refused_as_leaving: false,
             is_listed: true,
             silent_since: None,
             released: Vec::new(),
