jobs: placement and preemption work on sums, not on copies of the board; decisions are paced

Ruled out: the store (20 ms a commit), holds (1% of the profile), a weak scheduler alone (it broke with half a core too). Change: a trial keeps what fits on each server and in each rack, and changes sums as runs are given back; victims are found by server; a shape that fits nowhere is ruled out before groups are formed; at most eight preemptions are worked out in a decision and a failed one rests 150 ms; a reservation is tried each 250 ms. After a decision the scheduler pauses three times as long as it took.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -122,6 +122,33 @@
     pub is_acknowledged: bool,
 }
 
+/// Processor time of the engine's decisions.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Decisions {
+    /// How many there were.
+    pub count: u32,
+    /// Time of all.
+    pub total: std::time::Duration,
+    /// Time of the longest.
+    pub longest: std::time::Duration,
+}
+
+/// Processor time of this thread, which other load on the machine does not change.
+fn processor_time() -> std::time::Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u32::try_from(time.tv_nsec).unwrap_or_default();
+    std::time::Duration::new(seconds, nanoseconds)
+}
+
+impl Decisions {
+    fn note(&mut self, took: std::time::Duration) {
+        self.count += 1;
+        self.total += took;
+        self.longest = self.longest.max(took);
+    }
+}
+
 /// World.
 pub struct World {
     /// Engine.
@@ -153,6 +180,8 @@
     pub truths: BTreeMap<id::JobId, Truth>,
     /// Core-seconds of work that was thrown away.
     pub lost_core_s: f64,
+    /// Processor time of the engine's decisions.
+    pub decisions: Decisions,
     terms: Arc<terms::Terms>,
     settings: Settings,
     version: u64,
@@ -247,6 +276,7 @@
             completed_ms: BTreeMap::new(),
             truths: BTreeMap::new(),
             lost_core_s: 0.0,
+            decisions: Decisions::default(),
             terms: Arc::new(standard_terms(guaranteed)),
             settings,
             version: 0,
@@ -400,7 +430,9 @@
                 self.hold_all();
             }
             let now = self.now();
+            let before = processor_time();
             self.engine.decide(now);
+            self.decisions.note(processor_time().saturating_sub(before));
             self.store();
             self.deliver();
             let now_ms = self.now_ms;
--- a/lib/fleet-model/src/load.rs
+++ b/lib/fleet-model/src/load.rs
@@ -123,6 +123,50 @@
     vec![seal, fit, drift]
 }
 
+/// The kinds of a large pool of meter benches.
+pub fn large_laboratory() -> Vec<Kind> {
+    let kinds = laboratory();
+    let seal = Kind {
+        per_s: 11.0,
+        width: (5.4, 32.0),
+        ..kinds[0].clone()
+    };
+    let fit = Kind {
+        per_s: 2.07,
+        width: (13.0, 78.0),
+        ..kinds[1].clone()
+    };
+    let drift = Kind {
+        per_s: 1.63,
+        width: (39.0, 230.0),
+        ..kinds[2].clone()
+    };
+    vec![seal, fit, drift]
+}
+
+/// The kinds of a large festival printer.
+pub fn large_festival() -> Vec<Kind> {
+    let kinds = festival();
+    let gate = Kind {
+        per_s: 7.28,
+        width: (5.0, 32.0),
+        objective: (1.5, 300),
+        ..kinds[0].clone()
+    };
+    let artwork = Kind {
+        per_s: 1.95,
+        work_ms: (11_000.0, 14_000.0),
+        width: (10.0, 60.0),
+        ..kinds[1].clone()
+    };
+    let reprint = Kind {
+        per_s: 3.0,
+        width: (30.0, 180.0),
+        ..kinds[2].clone()
+    };
+    vec![gate, artwork, reprint]
+}
+
 /// A job of a day.
 #[derive(Clone, Debug)]
 pub struct Arrival {
--- a/lib/host/src/reign.rs
+++ b/lib/host/src/reign.rs
@@ -27,6 +27,10 @@
 /// Time for which further events are gathered before a decision.
 const GATHER: Duration = Duration::from_millis(8);
 
+/// Pause after a decision, as a multiple of the time that it took: a host that is too weak for its
+/// fleet decides less often, and still has time for leases and lists.
+const DECISION_PAUSE_RATIO: u32 = 3;
+
 /// How long one call for changes of the inbox waits.
 const INBOX_WAIT: Duration = Duration::from_millis(800);
 
@@ -358,6 +362,7 @@
     async fn decide(self: Arc<Self>) {
         while !self.is_over() {
             let now = self.now();
+            let started = self.around.clock.now();
             let has_jobs = {
                 let mut engine = self.lock();
                 let terms = self.around.board.terms();
@@ -377,8 +382,13 @@
                 true => TICK,
                 false => IDLE_TICK,
             };
+            let decided = self.around.clock.now();
+            let took = decided.since(started);
             self.decide.wait(&self.around.clock, tick).await;
-            self.around.clock.sleep(GATHER).await;
+            let pause = GATHER.max(took * DECISION_PAUSE_RATIO);
+            let waited = self.around.clock.now().since(decided);
+            let rest = GATHER.max(pause.saturating_sub(waited));
+            self.around.clock.sleep(rest).await;
         }
         self.end();
     }
--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -10,7 +10,7 @@
 use crate::live::{LiveRun, Phase};
 use crate::open_job::{OpenJob, Unit};
 use crate::placement::Board;
-use crate::preemption::{self, Claim, Victim};
+use crate::preemption::{self, Claim, Victim, Victims};
 
 /// How long a claim on servers holds beyond the time that stops take.
 const CLAIM_MARGIN_MS: u64 = 700;
@@ -21,18 +21,25 @@
 /// How long a reservation holds before it is made anew where the gang then fits soonest.
 const RESERVATION_MS: u64 = 4_000;
 
+/// Time between two tries to preempt for one job: a plan that loses too much stays so for a while.
+const PREEMPTION_RETRY_MS: u64 = 150;
+
+/// Time between two tries to reserve servers: runs that have to end first take longer by far.
+const RESERVATION_RETRY_MS: u64 = 250;
+
 /// Core-seconds that a preemption without a guarantee may lose for each core-second it serves.
 const PREEMPT_LOSS_RATIO: f64 = 0.7;
 
 impl Engine {
     /// Drops claims whose unit no longer waits or whose time is over.
-    pub(crate) fn drop_claims(&mut self, queue: &[(id::JobId, Unit)], now: Now) {
-        if self.claims.is_empty() {
-            return;
-        }
-        let waiting: BTreeSet<_> = queue.iter().cloned().collect();
-        self.claims
-            .retain(|unit, claim| waiting.contains(unit) && now.ms < claim.until_ms);
+    pub(crate) fn drop_claims(&mut self, now: Now) {
+        let jobs = &mut self.jobs;
+        self.claims.retain(|(id, unit), claim| {
+            let is_waiting = jobs
+                .get_mut(id)
+                .is_some_and(|job| job.ready_units(now.unix_ms).contains(unit));
+            is_waiting && now.ms < claim.until_ms
+        });
     }
 
     /// Whether a gang that is not urgent has servers reserved.
@@ -54,9 +61,14 @@
         let job = &self.jobs[id];
         let waited_ms = now.ms.saturating_sub(job.accepted_ms);
         let patience_ms = (job.objective_ms() as f64 * RESERVE_AFTER_RATIO) as u64;
-        if unit.count == 1 || job.accepted.terms.priority == 0 || waited_ms < patience_ms {
+        if unit.count == 1
+            || job.accepted.terms.priority == 0
+            || waited_ms < patience_ms
+            || now.ms < self.next_reservation_ms
+        {
             return false;
         }
+        self.next_reservation_ms = now.ms + RESERVATION_RETRY_MS;
         let need = job.step(unit.first).need;
         let choice = {
             let mut demand = self.demand(id, unit, guaranteed, now);
@@ -68,7 +80,7 @@
         };
         let servers = choice
             .iter()
-            .map(|&place| board.slots[place].server.clone());
+            .map(|&place| board.slots()[place].entry.id.clone());
         let claim = Claim {
             servers: servers.collect(),
             need,
@@ -91,7 +103,7 @@
                 };
                 let left = f64::from(100_u32.saturating_sub(live.percent)) / 100.0;
                 let estimate_ms = job.step(*index).estimate_ms as f64;
-                let speed_ratio = board.slots[place].speed_ratio.max(CRAWLING_RATIO);
+                let speed_ratio = board.slots()[place].speed_ratio.max(CRAWLING_RATIO);
                 ends.push(preemption::ExpectedEnd {
                     in_ms: (left * estimate_ms / speed_ratio) as u64,
                     place,
@@ -121,30 +133,28 @@
                 self.claims.remove(&(id, unit));
                 continue;
             };
-            let mut after = board.clone();
+            let mut after = board.free();
             let mut fits = true;
             for &place in &places {
-                fits &= after.slots[place].free.holds(&claim.need);
-                after.take(place, &claim.need);
+                fits &= after[place].holds(&claim.need);
+                after[place] = after[place].minus(&claim.need);
             }
             match fits {
                 true => {
                     self.claims.remove(&(id.clone(), unit));
                     self.start_unit(&id, unit, &places, board, now);
                 }
-                false => *board = after,
+                false => {
+                    for &place in &places {
+                        board.take(place, &claim.need);
+                    }
+                }
             }
         }
     }
 
     /// Units that urgent work may stop: of lower priority, at work, and not lasting.
-    pub(crate) fn victims(&self, board: &Board, now: Now) -> Vec<Victim> {
-        let places: BTreeMap<&id::BackendServerId, usize> = board
-            .slots
-            .iter()
-            .enumerate()
-            .map(|(place, slot)| (&slot.server, place))
-            .collect();
+    pub(crate) fn victims(&self, board: &Board, now: Now) -> Victims {
         let mut victims: BTreeMap<(id::JobId, Unit), Victim> = BTreeMap::new();
         let lower = self
             .jobs
@@ -156,7 +166,7 @@
                 if !live.is_wanted() || step.is_lasting {
                     continue;
                 }
-                let Some(&place) = places.get(&live.server) else {
+                let Some(place) = board.place_of(&live.server) else {
                     continue;
                 };
                 let unit = job.unit_of(*index);
@@ -172,7 +182,7 @@
                 victim.lost_core_s += lost_core_s(job, live, now);
             }
         }
-        victims.into_values().collect()
+        Victims::new(victims.into_values().collect(), board.slots().len())
     }
 
     /// Stops lower work so that an urgent unit can start, if that is owed or worth it.
@@ -181,10 +191,10 @@
         id: &id::JobId,
         unit: Unit,
         board: &mut Board,
-        mut victims: Vec<Victim>,
+        victims: &mut Victims,
         guaranteed: &BTreeSet<id::ClientAccountName>,
         now: Now,
-    ) -> Vec<Victim> {
+    ) {
         let job = &self.jobs[id];
         let step = job.step(unit.first);
         let need = step.need;
@@ -195,7 +205,7 @@
             guaranteed.contains(&job.accepted.account) && 2 * waited_ms > self.settings.reclaim_ms;
         let plan = {
             let demand = self.demand(id, unit, guaranteed, now);
-            preemption::plan(board, &demand, &victims)
+            preemption::plan(board, &demand, victims)
         };
         // A job that is late anyway is not worth the work of others.
         let is_late = decide::needed_speed_ratio(job, unit, now) > HOPELESS_SPEED_RATIO;
@@ -204,20 +214,20 @@
             is_owed || (is_cheap && !is_late)
         });
         let Some(plan) = plan else {
-            return victims;
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.next_preemption_ms = now.ms + PREEMPTION_RETRY_MS;
+            }
+            return;
         };
         let servers: Vec<_> = plan
             .choice
             .iter()
-            .map(|&place| board.slots[place].server.clone())
+            .map(|&place| board.slots()[place].entry.id.clone())
             .collect();
-        let mut chosen = plan.victims;
-        chosen.sort_unstable();
-        for &number in chosen.iter().rev() {
-            let victim = victims.swap_remove(number);
+        for &number in &plan.victims {
+            let victim = victims.stop(number);
             for (place, held) in &victim.holds {
-                let slot = &mut board.slots[*place];
-                slot.free = slot.free.plus(held);
+                board.give(*place, held);
             }
             for index in victim.unit.members() {
                 self.want_stop(&victim.job, index, "preempted", now);
@@ -233,7 +243,6 @@
             until_ms,
         };
         self.claims.insert((id.clone(), unit), claim);
-        victims
     }
 }
 
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -1,6 +1,7 @@
 //! What starts where: the order of units, and the servers that each gets.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use camphorbeam_model::id;
 
@@ -9,7 +10,7 @@
 use crate::note::Note;
 use crate::open_job::{OpenJob, Unit};
 use crate::placement::{Board, Demand, Slot};
-use crate::preemption::Victim;
+use crate::preemption::Victims;
 use crate::progress::{JobState, TaskState};
 use crate::server::Server;
 
@@ -37,6 +38,9 @@
 /// How long an urgent unit waits for room before it preempts.
 const PREEMPT_PATIENCE_MS: u64 = 100;
 
+/// Preemptions that one decision works out; the others wait for the next decision.
+const PLANS_MAX: u32 = 8;
+
 /// Objectives after which a job earns its caller nothing.
 const WORTHLESS_AFTER_OBJECTIVES: u64 = 3;
 
@@ -45,6 +49,7 @@
     pub fn decide(&mut self, now: Now) {
         if now.ms >= self.next_scan_ms {
             self.next_scan_ms = now.ms + SCAN_INTERVAL_MS;
+            self.median_speed_ratio = Some(self.speeds.median(self.servers.keys()));
             self.retry_orders(now);
             self.lose_lapsed(now);
             self.stop_stalled(now);
@@ -54,32 +59,27 @@
     }
 
     fn board(&self, now: Now) -> Board {
-        let median = self.speeds.median(self.servers.keys());
+        let median = self.median_speed();
         let slots = self
             .servers
             .values()
             .filter(|server| self.takes_work(server, now))
             .map(|server| Slot {
-                server: server.entry.id.clone(),
-                service: server.entry.service.clone(),
-                labels: server.entry.labels.clone(),
-                rack: server.entry.rack().cloned(),
-                capacity: server.entry.capacity,
+                entry: Arc::clone(&server.entry),
                 free: server.free(),
                 speed_ratio: self.speeds.ratio(&server.entry.id) / median,
                 is_suspect: self.health.is_suspect(&server.entry.id),
-            })
-            .collect();
-        Board { slots }
+            });
+        Board::new(slots.collect())
     }
 
     fn takes_work(&self, server: &Server, now: Now) -> bool {
         server.is_usable(now.ms) && !self.health.is_set_aside(&server.entry.id, now.ms)
     }
 
-    /// Units that may start, the most pressing first.
-    fn queue(&mut self, now: Now) -> Vec<(id::JobId, Unit)> {
-        let mut queue: Vec<(Rank, id::JobId, Unit)> = Vec::new();
+    /// Jobs with units that may start, the most pressing first.
+    fn queue(&mut self, now: Now) -> Vec<Waiting> {
+        let mut queue: Vec<(Rank, Waiting)> = Vec::new();
         for job in self.jobs.values_mut() {
             let units = job.ready_units(now.unix_ms).to_vec();
             if units.is_empty() {
@@ -89,113 +89,150 @@
             let is_worthless = age_ms > WORTHLESS_AFTER_OBJECTIVES * job.objective_ms();
             let is_late = needed_speed_ratio(job, units[0], now) > HOPELESS_SPEED_RATIO;
             let priority = job.accepted.terms.priority;
-            let key = (is_worthless, priority, is_late, job.accepted_ms);
-            queue.extend(units.into_iter().map(|unit| (key, job.id.clone(), unit)));
+            let rank = (is_worthless, priority, is_late, job.accepted_ms);
+            let waiting = Waiting {
+                job: job.id.clone(),
+                priority,
+                units,
+            };
+            queue.push((rank, waiting));
         }
-        queue.sort_by_key(|a| a.0);
-        queue.into_iter().map(|(_, id, unit)| (id, unit)).collect()
+        queue.sort_by_key(|(rank, _)| *rank);
+        queue.into_iter().map(|(_, waiting)| waiting).collect()
     }
 
     fn place_all(&mut self, now: Now) {
         let queue = self.queue(now);
         let urgent = self.urgent_accelerators(&queue);
         self.headroom.update(now.ms, urgent);
-        self.drop_claims(&queue, now);
+        self.drop_claims(now);
         if queue.is_empty() {
             return;
         }
-        let mut board = self.board(now);
-        self.place_claims(&mut board, true, now);
+        let board = self.board(now);
+        let capacities = board.slots().iter().map(|slot| slot.entry.capacity);
+        let total = capacities.map(|capacity| capacity.accelerators).sum();
+        let mut placing = Placing {
+            guaranteed: self.guaranteed_accounts(),
+            free_min: self.headroom.free_min(urgent, total),
+            victims: None,
+            plans_left: PLANS_MAX,
+            board,
+        };
+        self.place_claims(&mut placing.board, true, now);
         let mut are_claims_placed = false;
-        let mut has_reserved = self.has_reservation();
-        let mut hopeless: BTreeSet<(id::JobId, u32, u32)> = BTreeSet::new();
-        let guaranteed = self.guaranteed_accounts();
-        let total: u64 = board
-            .slots
-            .iter()
-            .map(|slot| slot.capacity.accelerators)
-            .sum();
-        let free_min = self.headroom.free_min(urgent, total);
-        let mut victims: Option<Vec<Victim>> = None;
-        for (id, unit) in queue {
-            let step = (id.clone(), unit.first.occurrence, unit.first.step);
-            if self.jobs[&id].accepted.terms.priority > 0 && !are_claims_placed {
-                self.place_claims(&mut board, false, now);
+        for waiting in &queue {
+            if waiting.priority > 0 && !are_claims_placed {
+                self.place_claims(&mut placing.board, false, now);
                 are_claims_placed = true;
             }
-            let is_claimed = self.claims.contains_key(&(id.clone(), unit));
-            if is_claimed || hopeless.contains(&step) || !self.is_waiting(&id, unit) {
-                continue;
-            }
-            let choice = {
-                let demand = self.demand(&id, unit, &guaranteed, now);
-                board.choose(&demand)
-            };
-            if choice.is_some() && self.takes_headroom(&id, unit, &board, free_min) {
-                hopeless.insert(step);
+            self.place_job(waiting, &mut placing, now);
+        }
+    }
+
+    fn place_job(&mut self, waiting: &Waiting, placing: &mut Placing, now: Now) {
+        // Units of a step are alike: where one does not fit, no other does.
+        let mut full: Option<(u32, u32)> = None;
+        for &unit in &waiting.units {
+            let step = (unit.first.occurrence, unit.first.step);
+            if full == Some(step) || !self.is_waiting(&waiting.job, unit) {
                 continue;
             }
-            if let Some(choice) = choice {
-                self.start_unit(&id, unit, &choice, &mut board, now);
+            if self.claims.contains_key(&(waiting.job.clone(), unit)) {
                 continue;
             }
-            let job = &self.jobs[&id];
-            let is_urgent = job.accepted.terms.priority == 0;
-            let is_late = needed_speed_ratio(job, unit, now) > HOPELESS_SPEED_RATIO;
-            let waited_ms = now.ms.saturating_sub(job.accepted_ms);
-            if is_urgent && waited_ms >= PREEMPT_PATIENCE_MS {
-                let known = victims.get_or_insert_with(|| self.victims(&board, now));
-                let known = std::mem::take(known);
-                let kept = self.preempt(&id, unit, &mut board, known, &guaranteed, now);
-                victims = Some(kept);
+            if !self.place_unit(&waiting.job, unit, placing, now) {
+                full = Some(step);
             }
-            // An urgent job that can still be in time waits for a server that is fast enough.
-            let is_claimed = self.claims.contains_key(&(id.clone(), unit));
-            let any_speed = match is_claimed || (is_urgent && !is_late) {
-                true => None,
-                false => {
-                    let mut demand = self.demand(&id, unit, &guaranteed, now);
-                    demand.speed_min_ratio = CRAWLING_RATIO;
-                    board.choose(&demand)
-                }
-            };
-            match any_speed {
-                Some(choice) => self.start_unit(&id, unit, &choice, &mut board, now),
-                None => {
-                    hopeless.insert(step);
-                    if !is_claimed && !has_reserved {
-                        has_reserved = self.reserve(&id, unit, &mut board, &guaranteed, now);
-                    }
-                }
+        }
+    }
+
+    /// Starts a unit, or makes room for it; false if it does not fit.
+    fn place_unit(&mut self, id: &id::JobId, unit: Unit, placing: &mut Placing, now: Now) -> bool {
+        let choice = {
+            let demand = self.demand(id, unit, &placing.guaranteed, now);
+            placing.board.choose(&demand)
+        };
+        if choice.is_some() && self.takes_headroom(id, unit, placing) {
+            return false;
+        }
+        if let Some(choice) = choice {
+            self.start_unit(id, unit, &choice, &mut placing.board, now);
+            return true;
+        }
+        let job = &self.jobs[id];
+        let is_urgent = job.accepted.terms.priority == 0;
+        let is_late = needed_speed_ratio(job, unit, now) > HOPELESS_SPEED_RATIO;
+        if is_urgent {
+            self.make_room(id, unit, placing, now);
+        }
+        // An urgent job that can still be in time waits for a server that is fast enough.
+        let is_claimed = self.claims.contains_key(&(id.clone(), unit));
+        let any_speed = match is_claimed || (is_urgent && !is_late) {
+            true => None,
+            false => {
+                let mut demand = self.demand(id, unit, &placing.guaranteed, now);
+                demand.speed_min_ratio = CRAWLING_RATIO;
+                placing.board.choose(&demand)
             }
+        };
+        if let Some(choice) = any_speed {
+            self.start_unit(id, unit, &choice, &mut placing.board, now);
+            return true;
         }
+        if !is_claimed && !self.has_reservation() {
+            self.reserve(id, unit, &mut placing.board, &placing.guaranteed, now);
+        }
+        false
+    }
+
+    /// Stops lower work for an urgent unit that has waited a moment.
+    fn make_room(&mut self, id: &id::JobId, unit: Unit, placing: &mut Placing, now: Now) {
+        let job = &self.jobs[id];
+        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
+        let is_due = waited_ms >= PREEMPT_PATIENCE_MS && now.ms >= job.next_preemption_ms;
+        if !is_due || placing.plans_left == 0 {
+            return;
+        }
+        placing.plans_left -= 1;
+        let mut victims = match placing.victims.take() {
+            Some(victims) => victims,
+            None => self.victims(&placing.board, now),
+        };
+        let (board, guaranteed) = (&mut placing.board, &placing.guaranteed);
+        self.preempt(id, unit, board, &mut victims, guaranteed, now);
+        placing.victims = Some(victims);
     }
 
     /// Accelerators that urgent jobs use or wait for.
-    fn urgent_accelerators(&self, queue: &[(id::JobId, Unit)]) -> u64 {
+    fn urgent_accelerators(&self, queue: &[Waiting]) -> u64 {
         let urgent = |job: &&OpenJob| job.accepted.terms.priority == 0;
         let used = self
             .jobs
             .values()
             .filter(urgent)
             .flat_map(|job| job.runs.values());
-        let waiting = queue.iter().filter_map(|(id, unit)| {
-            let job = self.jobs.get(id).filter(urgent)?;
-            Some(u64::from(unit.count) * job.step(unit.first).need.accelerators)
+        let waiting = queue.iter().filter(|waiting| waiting.priority == 0);
+        let waiting = waiting.flat_map(|waiting| {
+            let job = &self.jobs[&waiting.job];
+            let of_unit =
+                |unit: &Unit| u64::from(unit.count) * job.step(unit.first).need.accelerators;
+            waiting.units.iter().map(of_unit)
         });
         used.map(|live| live.need.accelerators).sum::<u64>() + waiting.sum::<u64>()
     }
 
     /// Whether a unit would take room that is kept for urgent work. What loses little when it is
     /// stopped may have it.
-    fn takes_headroom(&self, id: &id::JobId, unit: Unit, board: &Board, free_min: u64) -> bool {
+    fn takes_headroom(&self, id: &id::JobId, unit: Unit, placing: &Placing) -> bool {
         let job = &self.jobs[id];
         let step = job.step(unit.first);
         if job.accepted.terms.priority == 0 || step.is_checkpointing {
             return false;
         }
-        let free: u64 = board.slots.iter().map(|slot| slot.free.accelerators).sum();
-        free < free_min + u64::from(unit.count) * step.need.accelerators
+        let slots = placing.board.slots();
+        let free: u64 = slots.iter().map(|slot| slot.free.accelerators).sum();
+        free < placing.free_min + u64::from(unit.count) * step.need.accelerators
     }
 
     fn is_waiting(&self, id: &id::JobId, unit: Unit) -> bool {
@@ -289,7 +326,7 @@
         job.progress.state = JobState::Running;
         job.progress.has_begun = true;
         for (index, &place) in unit.members().zip(choice) {
-            let server = board.slots[place].server.clone();
+            let server = board.slots()[place].entry.id.clone();
             let record = job.progress.task_mut(index);
             record.run = run;
             record.state = TaskState::Started;
@@ -309,12 +346,30 @@
             first: unit.first,
             tasks: unit.count,
             run,
-            server: board.slots[choice[0]].server.clone(),
+            server: board.slots()[choice[0]].entry.id.clone(),
             waited_ms: now.ms.saturating_sub(job.accepted_ms),
         });
     }
 }
 
+/// A job with units that may start.
+struct Waiting {
+    job: id::JobId,
+    priority: u32,
+    units: Vec<Unit>,
+}
+
+/// What one decision works with.
+struct Placing {
+    board: Board,
+    guaranteed: BTreeSet<id::ClientAccountName>,
+    /// Accelerators that are kept free for urgent work.
+    free_min: u64,
+    /// Units that may be stopped, once they were needed.
+    victims: Option<Victims>,
+    plans_left: u32,
+}
+
 /// The order of units: what can earn nothing last, then by priority, what is late anyway after
 /// what can be in time, and the oldest first.
 type Rank = (bool, u32, bool, u64);
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -67,6 +67,9 @@
     /// Runs that may exist, by server.
     pub(crate) located: BTreeMap<id::BackendServerId, BTreeSet<(id::JobId, job::TaskIndex)>>,
     pub(crate) next_scan_ms: u64,
+    pub(crate) next_reservation_ms: u64,
+    /// Median speed of the servers, as of the last scan.
+    pub(crate) median_speed_ratio: Option<f64>,
     pub(crate) orders: Vec<Order>,
     pub(crate) notes: Vec<Note>,
     pub(crate) is_deposed: bool,
@@ -116,7 +119,7 @@
                         });
                     }
                     server.is_listed = true;
-                    server.entry = entry;
+                    server.entry = Arc::new(entry);
                 }
                 None => {
                     self.notes.push(Note::Server {
@@ -509,9 +512,15 @@
 }
 
 impl Engine {
+    /// The median speed of all servers, which changes slowly.
+    pub(crate) fn median_speed(&self) -> f64 {
+        let known = self.median_speed_ratio;
+        known.unwrap_or_else(|| self.speeds.median(self.servers.keys()))
+    }
+
     /// The speed that is believed of a server, relative to the median.
     pub fn speed(&self, id: &str) -> f64 {
-        let median = self.speeds.median(self.servers.keys());
+        let median = self.median_speed();
         let server = self.servers.keys().find(|server| server.as_str() == id);
         server.map_or(1.0, |server| self.speeds.ratio(server) / median)
     }
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod server;
 pub mod settings;
 pub mod speeds;
+pub mod trial;
 mod watch;
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -46,6 +46,8 @@
     pub row_version: u64,
     /// Whether a task has been seen at work.
     pub has_begun: bool,
+    /// When other work may be considered again to be stopped for it.
+    pub next_preemption_ms: u64,
     ready: Option<Ready>,
 }
 
@@ -76,6 +78,7 @@
             stored_generation: 0,
             row_version,
             has_begun,
+            next_preemption_ms: 0,
             ready: None,
         }
     }
--- a/lib/jobs/src/preemption.rs
+++ b/lib/jobs/src/preemption.rs
@@ -4,6 +4,7 @@
 
 use camphorbeam_model::{id, job};
 
+use crate::trial::Trial;
 use crate::{open_job, placement};
 
 /// Cores that one accelerator counts for when lost work is weighed; the operators' price.
@@ -51,92 +52,139 @@
     pub lost_core_s: f64,
 }
 
+/// Units that may be stopped, found by the places that they are on.
+#[derive(Clone, Debug, Default)]
+pub struct Victims {
+    all: Vec<Victim>,
+    is_stopped: Vec<bool>,
+    at: Vec<Vec<usize>>,
+}
+
+impl Victims {
+    /// Indexes `all` for a board of `places` servers.
+    pub fn new(all: Vec<Victim>, places: usize) -> Self {
+        let mut at = vec![Vec::new(); places];
+        for (number, victim) in all.iter().enumerate() {
+            for &(place, _) in &victim.holds {
+                at[place].push(number);
+            }
+        }
+        Self {
+            is_stopped: vec![false; all.len()],
+            at,
+            all,
+        }
+    }
+
+    /// Takes a victim out, to be stopped.
+    pub fn stop(&mut self, number: usize) -> &Victim {
+        self.is_stopped[number] = true;
+        &self.all[number]
+    }
+
+    /// Victims on the places of `group`, those first that lose least for what they free there.
+    fn on(&self, group: &[usize]) -> Vec<usize> {
+        let mut freed: BTreeMap<usize, u64> = BTreeMap::new();
+        for &place in group {
+            for &number in self.at[place].iter().filter(|&&at| !self.is_stopped[at]) {
+                let victim = &self.all[number];
+                let held = victim.holds.iter().find(|(at, _)| *at == place);
+                let accelerators = held.map_or(0, |(_, need)| need.accelerators);
+                *freed.entry(number).or_default() += 1 + accelerators;
+            }
+        }
+        let mut useful: Vec<(f64, usize)> = freed
+            .into_iter()
+            .map(|(number, freed)| (self.all[number].lost_core_s / freed as f64, number))
+            .collect();
+        useful.sort_by(|a, b| a.0.total_cmp(&b.0));
+        useful.into_iter().map(|(_, number)| number).collect()
+    }
+
+    fn lost_core_s(&self, numbers: &[usize]) -> f64 {
+        numbers
+            .iter()
+            .map(|&number| self.all[number].lost_core_s)
+            .sum()
+    }
+
+    fn give_back(&self, number: usize, trial: &mut Trial<'_>) {
+        for (place, need) in &self.all[number].holds {
+            trial.give(*place, need);
+        }
+    }
+
+    fn take_again(&self, number: usize, trial: &mut Trial<'_>) {
+        for (place, need) in &self.all[number].holds {
+            trial.take(*place, need);
+        }
+    }
+}
+
 /// The cheapest plan by which `demand` fits.
 pub fn plan(
     board: &placement::Board,
     demand: &placement::Demand<'_>,
-    victims: &[Victim],
+    victims: &Victims,
 ) -> Option<Plan> {
-    board
-        .groups(demand)
+    let mut trial = Trial::new(board, demand);
+    let groups = 0..trial.groups().len();
+    let plans: Vec<Plan> = groups
+        .filter_map(|group| plan_in(&mut trial, group, victims))
+        .collect();
+    plans
         .into_iter()
-        .filter_map(|group| plan_in(board, demand, victims, &group))
         .min_by(|a, b| a.lost_core_s.total_cmp(&b.lost_core_s))
 }
 
-fn plan_in(
-    board: &placement::Board,
-    demand: &placement::Demand<'_>,
-    victims: &[Victim],
-    group: &[usize],
-) -> Option<Plan> {
-    let mut useful: Vec<(usize, f64)> = victims
-        .iter()
-        .enumerate()
-        .filter_map(|(number, victim)| {
-            let freed: u64 = victim
-                .holds
-                .iter()
-                .filter(|(place, _)| group.contains(place))
-                .map(|(_, need)| 1 + need.accelerators)
-                .sum();
-            (freed > 0).then(|| (number, victim.lost_core_s / freed as f64))
-        })
-        .collect();
-    useful.sort_by(|a, b| a.1.total_cmp(&b.1));
-    let mut freed = board.clone();
+/// The plan within one group; leaves the trial as it was.
+fn plan_in(trial: &mut Trial<'_>, group: usize, victims: &Victims) -> Option<Plan> {
     let mut chosen = Vec::new();
-    let mut choice = freed.fit(group, demand);
-    for (number, _) in useful {
-        if choice.is_some() {
-            break;
+    if !trial.is_enough(group) {
+        for number in victims.on(&trial.groups()[group]) {
+            victims.give_back(number, trial);
+            chosen.push(number);
+            if trial.is_enough(group) {
+                break;
+            }
         }
-        give_back(&mut freed, &victims[number]);
-        chosen.push(number);
-        choice = freed.fit(group, demand);
     }
-    choice?;
-    let (chosen, choice) = without_needless(board, demand, victims, group, chosen)?;
-    let lost_core_s = chosen
-        .iter()
-        .map(|&number| victims[number].lost_core_s)
-        .sum();
-    Some(Plan {
-        victims: chosen,
-        choice,
-        lost_core_s,
-    })
+    let plan = match trial.is_enough(group) {
+        true => {
+            leave_out_needless(trial, group, victims, &mut chosen);
+            trial.choice(group).map(|choice| Plan {
+                lost_core_s: victims.lost_core_s(&chosen),
+                victims: chosen.clone(),
+                choice,
+            })
+        }
+        false => None,
+    };
+    for number in chosen {
+        victims.take_again(number, trial);
+    }
+    plan
 }
 
 /// Leaves out victims without which the unit fits as well, the dearest first.
-fn without_needless(
-    board: &placement::Board,
-    demand: &placement::Demand<'_>,
-    victims: &[Victim],
-    group: &[usize],
-    mut chosen: Vec<usize>,
-) -> Option<(Vec<usize>, placement::Choice)> {
-    let fit_with = |kept: &[usize]| {
-        let mut freed = board.clone();
-        for &number in kept {
-            give_back(&mut freed, &victims[number]);
-        }
-        freed.fit(group, demand)
-    };
+fn leave_out_needless(
+    trial: &mut Trial<'_>,
+    group: usize,
+    victims: &Victims,
+    chosen: &mut Vec<usize>,
+) {
     let mut by_loss = chosen.clone();
-    by_loss.sort_by(|&a, &b| victims[b].lost_core_s.total_cmp(&victims[a].lost_core_s));
+    by_loss.sort_by(|&a, &b| {
+        let (a, b) = (&victims.all[a], &victims.all[b]);
+        b.lost_core_s.total_cmp(&a.lost_core_s)
+    });
     for number in by_loss {
-        let kept: Vec<usize> = chosen
-            .iter()
-            .copied()
-            .filter(|&other| other != number)
-            .collect();
-        if fit_with(&kept).is_some() {
-            chosen = kept;
+        victims.take_again(number, trial);
+        match trial.is_enough(group) {
+            true => chosen.retain(|&other| other != number),
+            false => victims.give_back(number, trial),
         }
     }
-    let choice = fit_with(&chosen)?;
-    Some((chosen, choice))
 }
 
 /// When a run is expected to end, and what it frees.
@@ -156,27 +204,15 @@
     demand: &placement::Demand<'_>,
     ends: &[ExpectedEnd],
 ) -> Option<placement::Choice> {
-    let groups = board.groups(demand).into_iter();
-    let fits = groups.filter_map(|group| {
-        let mut freed = board.clone();
-        for end in ends.iter().filter(|end| group.contains(&end.place)) {
-            let slot = &mut freed.slots[end.place];
-            slot.free = slot.free.plus(&end.need);
-            if let Some(choice) = freed.fit(&group, demand) {
-                return Some((end.in_ms, choice));
-            }
+    let mut trial = Trial::new(board, demand);
+    for end in ends {
+        trial.give(end.place, &end.need);
+        match trial.group_of(end.place) {
+            Some(group) if trial.is_enough(group) => return trial.choice(group),
+            _ => {}
         }
-        None
-    });
-    let soonest = fits.min_by_key(|(in_ms, _)| *in_ms);
-    soonest.map(|(_, choice)| choice)
-}
-
-fn give_back(board: &mut placement::Board, victim: &Victim) {
-    for (place, need) in &victim.holds {
-        let slot = &mut board.slots[*place];
-        slot.free = slot.free.plus(need);
     }
+    None
 }
 
 /// Servers promised to a unit until what runs there has ended.
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -1,6 +1,7 @@
 //! A backend server as the scheduler knows it.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use camphorbeam_model::{fleet, id, job};
 
@@ -29,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub struct Server {
     /// What it registered.
-    pub entry: fleet::ServerEntry,
+    pub entry: Arc<fleet::ServerEntry>,
     /// Whether the registry still has it.
     pub is_listed: bool,
     /// Its life, once it has answered.
@@ -61,7 +62,7 @@
     /// A backend server that has not answered yet.
     pub fn new(entry: fleet::ServerEntry, now_ms: u64) -> Self {
         Self {
-            entry,
+            entry: Arc::new(entry),
             is_listed: true,
             life: None,
             clock: None,
--- a/lib/jobs/src/watch.rs
+++ b/lib/jobs/src/watch.rs
@@ -151,7 +151,7 @@
 
     /// Stops runs on servers that have turned slow, if they finish sooner elsewhere.
     pub(crate) fn move_crawling(&mut self, now: Now) {
-        let median = self.speeds.median(self.servers.keys());
+        let median = self.median_speed();
         let mut moved: Vec<(id::JobId, job::TaskIndex)> = Vec::new();
         for job in self.jobs.values() {
             for (index, live) in &job.runs {
