host: counters and latency histograms on an address of their own

Change: lib/host::metrics counts calls, store calls by way, orders, runs, and times decisions; text by prometheus-client, since cadence only sends to a collector and the platform fetches.

--- a/cli/src/host.rs
+++ b/cli/src/host.rs
@@ -1,5 +1,6 @@
 //! `camphorbeam host`: runs an entry host on the users' platform until SIGTERM or SIGINT.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 use async_std::net::TcpListener;
 use async_std::task;
 use camphorbeam_clock as clock;
-use camphorbeam_host::{run, settings};
+use camphorbeam_host::{metrics, run, settings};
 use camphorbeam_http::{client, meter, server};
 use camphorbeam_site::{calls, orders, settings as site_settings, site, store};
 use camphorbeam_telemetry::logs;
@@ -31,6 +32,13 @@
 /// Largest body that is read at all. The operators' limit is checked after it.
 const BODY_MAX_BYTES: u64 = 1_024 * 1_024;
 
+/// Port on which the metrics are served unless a flag says otherwise; one of those that the
+/// platform leaves free for the processes of a host.
+const METRICS_PORT_DEFAULT: &str = "7010";
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Threads of each runtime: the hosts have one core or less.
 const THREADS: &str = "1";
 
@@ -45,6 +53,14 @@
                 .required(true)
                 .help("Settings file that the platform places on the host"),
         )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .env("CAMPHORBEAM_METRICS_PORT")
+                .value_parser(clap::value_parser!(u16))
+                .default_value(METRICS_PORT_DEFAULT)
+                .help("Port of the metrics, at the address of the readiness port; 0 for none"),
+        )
         .arg(
             Arg::new("log-level")
                 .long("log-level")
@@ -71,7 +87,8 @@
     // Both runtimes read their size once, when the first task starts.
     std::env::set_var("ASYNC_STD_THREAD_COUNT", THREADS);
     std::env::set_var("TOKIO_WORKER_THREADS", THREADS);
-    match task::block_on(serve(settings, &path)) {
+    let metrics_port = matches.get_one("metrics-port").copied();
+    match task::block_on(serve(settings, &path, metrics_port.unwrap_or_default())) {
         Ok(()) => exit::Code::Success,
         Err(error) => {
             eprintln!("camphorbeam host: {error:#}");
@@ -98,7 +115,7 @@
     }
 }
 
-async fn serve(settings: settings::Settings, path: &Path) -> anyhow::Result<()> {
+async fn serve(settings: settings::Settings, path: &Path, metrics_port: u16) -> anyhow::Result<()> {
     let signals = Signals::register()?;
     let clock = clock::Clock::system();
     let meter = Arc::new(meter::Meter::default());
@@ -130,6 +147,16 @@
         Arc::clone(&meter),
         readiness(Arc::clone(&host)),
     ));
+    if metrics_port > 0 {
+        let address = SocketAddr::new(settings.ready_address.ip(), metrics_port);
+        task::spawn(server::serve(
+            bind(address).await?,
+            clock.clone(),
+            limits,
+            Arc::clone(&meter),
+            metrics_page(Arc::clone(&host)),
+        ));
+    }
     task::spawn(server::serve(
         caller_listener,
         clock.clone(),
@@ -164,6 +191,28 @@
     }
 }
 
+fn metrics_page(
+    host: Arc<run::Host>,
+) -> impl Fn(server::WholeRequest) -> Answer + Clone + Send + Sync + 'static {
+    move |request| {
+        let response = match host.metrics_text() {
+            _ if request.head.url().path() != METRICS_PATH => Response::new(StatusCode::NotFound),
+            Ok(text) => {
+                let mut response = Response::new(StatusCode::Ok);
+                response.set_body(text);
+                response.insert_header("content-type", metrics::MEDIA_TYPE);
+                response
+            }
+            Err(error) => {
+                let reason = error.to_string();
+                spdlog::error!("metrics can't be written", kv: { reason = reason.as_str() });
+                Response::new(StatusCode::InternalServerError)
+            }
+        };
+        Box::pin(async move { response })
+    }
+}
+
 fn callers(
     host: Arc<run::Host>,
     open_calls: Arc<AtomicUsize>,
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -10,7 +10,7 @@
 use camphorbeam_platform::table::PlatformError;
 
 use crate::call::{Call, Operation, Reply};
-use crate::{follower, relay, rows};
+use crate::{follower, metrics, relay, rows};
 
 /// Time that a caller waits if it does not say.
 const DEADLINE_DEFAULT_MS: u64 = 3_000;
@@ -46,6 +46,8 @@
     pub store: Arc<relay::RelayedStore>,
     /// The clock.
     pub clock: clock::Clock,
+    /// What is counted.
+    pub metrics: Arc<metrics::Metrics>,
 }
 
 /// When to give up.
@@ -126,13 +128,17 @@
         let what = match call.operation {
             Operation::Submit { .. } => "submit",
             Operation::Cancel => "cancel",
-            // Reads change nothing; only those that fail are of interest.
-            Operation::Read if matches!(reply, Reply::State(_) | Reply::Waiting(_)) => return,
             Operation::Read => "read",
             Operation::Unsupported(_) => "unsupported",
         };
+        let took = self.elapsed(budget);
+        self.metrics.call(what, reply.name(), took);
+        // Reads change nothing; only those that fail are of interest.
+        if what == "read" && matches!(reply, Reply::State(_) | Reply::Waiting(_)) {
+            return;
+        }
         let job = admitted.job.as_ref().map_or("", id::JobId::as_str);
-        let took_ms = clock::as_ms(self.elapsed(budget));
+        let took_ms = clock::as_ms(took);
         spdlog::info!("call", kv: {
             what, job, queue = admitted.queue.name.as_str(), account = admitted.account.as_str(),
             outcome = reply.name(), took_ms, terms = version.0
--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod gateway;
 pub mod leadership;
 pub mod log;
+pub mod metrics;
 pub mod peers;
 pub mod registry;
 pub mod reign;
--- /dev/null
+++ b/lib/host/src/metrics.rs
@@ -0,0 +1,185 @@
+//! Counters and latency histograms of an entry host, as text that collectors fetch.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+
+use camphorbeam_jobs::note::Note;
+use prometheus_client::encoding::text;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{self, Histogram};
+use prometheus_client::registry::{Registry, Unit};
+
+/// Prefix of every name.
+pub const PREFIX: &str = "camphorbeam";
+
+/// Media type of the text.
+pub const MEDIA_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Smallest bound of a latency histogram, in seconds: the resolution of the clock.
+const LATENCY_MIN_S: f64 = 0.001;
+
+/// Factor between two bounds of a latency histogram.
+const LATENCY_FACTOR: f64 = 2.0;
+
+/// Bounds of a latency histogram: up to 4 s, beyond every time limit of a call.
+const LATENCY_BOUNDS: u16 = 13;
+
+type Labels = [(&'static str, &'static str); 2];
+type Counts = Family<Labels, Counter>;
+type Latencies = Family<[(&'static str, &'static str); 1], Histogram>;
+
+fn latency() -> Histogram {
+    Histogram::new(histogram::exponential_buckets(
+        LATENCY_MIN_S,
+        LATENCY_FACTOR,
+        LATENCY_BOUNDS,
+    ))
+}
+
+fn latencies() -> Latencies {
+    Family::new_with_constructor(latency)
+}
+
+/// What an entry host counts.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    calls: Counts,
+    call_latency: Latencies,
+    store_calls: Counts,
+    store_latency: Latencies,
+    orders: Counts,
+    runs: Counts,
+    decision_latency: Histogram,
+    /// 1 while this host schedules.
+    pub is_scheduling: Gauge,
+    /// Jobs of which no task has started, while this host schedules.
+    pub waiting_jobs: Gauge,
+    /// Version of the terms in force.
+    pub terms_version: Gauge<u64, AtomicU64>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix(PREFIX)),
+            calls: Counts::default(),
+            call_latency: latencies(),
+            store_calls: Counts::default(),
+            store_latency: latencies(),
+            orders: Counts::default(),
+            runs: Counts::default(),
+            decision_latency: latency(),
+            is_scheduling: Gauge::default(),
+            waiting_jobs: Gauge::default(),
+            terms_version: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.register("calls", "Calls of callers, by answer", self.calls.clone());
+        registry.register_with_unit(
+            "call_latency",
+            "Time until a caller was answered",
+            Unit::Seconds,
+            self.call_latency.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the store, by way and outcome",
+            self.store_calls.clone(),
+        );
+        registry.register_with_unit(
+            "store_latency",
+            "Time of a call to the store",
+            Unit::Seconds,
+            self.store_latency.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to backend servers, by outcome",
+            self.orders.clone(),
+        );
+        registry.register("runs", "Runs placed, stopped and ended", self.runs.clone());
+        registry.register_with_unit(
+            "decision_latency",
+            "Time of one decision",
+            Unit::Seconds,
+            self.decision_latency.clone(),
+        );
+        registry.register(
+            "scheduling",
+            "1 while this host schedules",
+            self.is_scheduling.clone(),
+        );
+        registry.register(
+            "waiting_jobs",
+            "Jobs of which no task has started",
+            self.waiting_jobs.clone(),
+        );
+        registry.register(
+            "terms_version",
+            "Version of the terms in force",
+            self.terms_version.clone(),
+        );
+    }
+
+    /// Notes an answer to a caller.
+    pub fn call(&self, what: &'static str, outcome: &'static str, took: Duration) {
+        let labels = [("what", what), ("outcome", outcome)];
+        self.calls.get_or_create(&labels).inc();
+        let latency = self.call_latency.get_or_create(&[("what", what)]);
+        latency.observe(took.as_secs_f64());
+    }
+
+    /// Notes a call to the store: `way` is `direct` or `relay`.
+    pub fn store_call(&self, way: &'static str, outcome: &'static str, took: Duration) {
+        let labels = [("way", way), ("outcome", outcome)];
+        self.store_calls.get_or_create(&labels).inc();
+        let latency = self.store_latency.get_or_create(&[("way", way)]);
+        latency.observe(took.as_secs_f64());
+    }
+
+    /// Notes the outcome of an order to a backend server.
+    pub fn order(&self, kind: &'static str, outcome: &'static str) {
+        let labels = [("kind", kind), ("outcome", outcome)];
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// Notes how long a decision took.
+    pub fn decision(&self, took: Duration) {
+        self.decision_latency.observe(took.as_secs_f64());
+    }
+
+    /// Counts what was decided of runs.
+    pub fn note(&self, note: &Note) {
+        let (event, how) = match note {
+            Note::Placed { .. } => ("placed", ""),
+            Note::Ended { how, .. } => ("ended", *how),
+            Note::Stopping { reason, .. } => ("stopping", *reason),
+            Note::State { .. } | Note::Server { .. } => return,
+        };
+        let labels = [("event", event), ("how", how)];
+        self.runs.get_or_create(&labels).inc();
+    }
+
+    /// All of it as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be formatted.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        text::encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
--- a/lib/host/src/reign.rs
+++ b/lib/host/src/reign.rs
@@ -16,7 +16,7 @@
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
 
-use crate::{follower, leadership, log, relay, rows, site, wakeup};
+use crate::{follower, leadership, log, metrics, relay, rows, site, wakeup};
 
 /// Longest time between two decisions while jobs are open.
 const TICK: Duration = Duration::from_millis(100);
@@ -76,6 +76,8 @@
     pub clock: clock::Clock,
     /// Bounds of the decisions.
     pub settings: job_settings::Settings,
+    /// What is counted.
+    pub metrics: Arc<metrics::Metrics>,
 }
 
 /// One holding of the lease.
@@ -315,7 +317,9 @@
             let (Some(order), Some(target)) = (order, self.target(&server)) else {
                 break;
             };
-            match self.around.servers.hold(&target, &order).await {
+            let outcome = self.around.servers.hold(&target, &order).await;
+            self.around.metrics.order("hold", outcome.name());
+            match outcome {
                 orders::HoldOutcome::Renewed(reply) => {
                     self.take_hold_reply(&server, sent.ms, &reply, &order).await;
                 }
@@ -372,6 +376,7 @@
                 }
                 for note in engine.take_notes() {
                     log::decision(self.epoch, &note);
+                    self.around.metrics.note(&note);
                 }
                 let has_jobs = engine.jobs().next().is_some();
                 has_jobs
@@ -384,6 +389,7 @@
             };
             let decided = self.around.clock.now();
             let took = decided.since(started);
+            self.around.metrics.decision(took);
             self.decide.wait(&self.around.clock, tick).await;
             let pause = GATHER.max(took * DECISION_PAUSE_RATIO);
             let waited = self.around.clock.now().since(decided);
@@ -424,6 +430,7 @@
                 engine::Order::Start(_, start) => {
                     let outcome = self.send_start(&target, &start, is_silent).await;
                     is_silent |= matches!(outcome, orders::StartOutcome::Unknown { .. });
+                    self.around.metrics.order("start", outcome.name());
                     let now = self.now();
                     self.lock().start_reply(&start.name, &outcome, now);
                 }
@@ -435,6 +442,7 @@
                         false => self.around.servers.stop(&target, &name).await,
                     };
                     is_silent |= matches!(outcome, orders::StopOutcome::Unknown { .. });
+                    self.around.metrics.order("stop", outcome.name());
                     let now = self.now();
                     self.lock().stop_reply(&name, &outcome, now);
                 }
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -9,7 +9,7 @@
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
 
-use crate::peers;
+use crate::{metrics, peers};
 
 /// How long the own connection is left alone after it failed.
 const DIRECT_PAUSE: Duration = Duration::from_millis(700);
@@ -28,6 +28,7 @@
     direct: Arc<dyn Store>,
     peers: Arc<peers::Peers>,
     clock: clock::Clock,
+    metrics: Arc<metrics::Metrics>,
     ways: Mutex<Ways>,
 }
 
@@ -40,11 +41,17 @@
 
 impl RelayedStore {
     /// Uses `direct` first.
-    pub fn new(direct: Arc<dyn Store>, peers: Arc<peers::Peers>, clock: clock::Clock) -> Self {
+    pub fn new(
+        direct: Arc<dyn Store>,
+        peers: Arc<peers::Peers>,
+        clock: clock::Clock,
+        metrics: Arc<metrics::Metrics>,
+    ) -> Self {
         Self {
             direct,
             peers,
             clock,
+            metrics,
             ways: Mutex::default(),
         }
     }
@@ -75,6 +82,22 @@
             .is_some_and(|reached| now.since(reached) < LOST_AFTER)
     }
 
+    fn count<T>(
+        &self,
+        way: &'static str,
+        result: &Result<T, PlatformError>,
+        since: clock::Monotonic,
+    ) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(PlatformError::NotApplied { .. }) => "not_applied",
+            Err(PlatformError::Rejected { .. }) => "rejected",
+            Err(PlatformError::Unknown { .. }) => "unknown",
+        };
+        let took = self.clock.now().since(since);
+        self.metrics.store_call(way, outcome, took);
+    }
+
     fn note_direct<T>(&self, result: &Result<T, PlatformError>) {
         let now = self.clock.now();
         let mut ways = self.lock();
@@ -129,7 +152,9 @@
     ) -> Result<store::Rows, PlatformError> {
         let mut last = no_way();
         if self.is_direct_usable() {
+            let sent = self.clock.now();
             let result = self.direct.rows(table, part, from, to).await;
+            self.count("direct", &result, sent);
             self.note_direct(&result);
             match result {
                 Ok(rows) => return Ok(rows),
@@ -138,7 +163,9 @@
             }
         }
         for address in self.helpers() {
+            let sent = self.clock.now();
             let result = self.peers.rows(address, table, part, from, to).await;
+            self.count("relay", &result, sent);
             self.note_relay(address, &result);
             match result {
                 Ok(rows) => return Ok(rows),
@@ -154,7 +181,9 @@
     ) -> Result<store::Commit, PlatformError> {
         let mut last = no_way();
         if self.is_direct_usable() {
+            let sent = self.clock.now();
             let result = self.direct.commit(transaction).await;
+            self.count("direct", &result, sent);
             self.note_direct(&result);
             match result {
                 Err(error @ PlatformError::NotApplied { .. }) => last = error,
@@ -162,7 +191,9 @@
             }
         }
         for address in self.helpers() {
+            let sent = self.clock.now();
             let result = self.peers.commit(address, transaction).await;
+            self.count("relay", &result, sent);
             self.note_relay(address, &result);
             match result {
                 Err(error @ PlatformError::NotApplied { .. }) => last = error,
--- a/lib/host/src/run.rs
+++ b/lib/host/src/run.rs
@@ -10,7 +10,9 @@
 use camphorbeam_model::id;
 use camphorbeam_platform::store::Store;
 
-use crate::{follower, gateway, leadership, peers, registry, reign, relay, settings, site};
+use crate::{
+    follower, gateway, leadership, metrics, peers, registry, reign, relay, settings, site,
+};
 
 /// Wait after a failed look at the lease.
 const LEASE_RETRY: Duration = Duration::from_millis(200);
@@ -29,6 +31,7 @@
 pub struct Host {
     /// Answers callers.
     pub gateway: Arc<gateway::Gateway>,
+    metrics: Arc<metrics::Metrics>,
     store: Arc<relay::RelayedStore>,
     board: Arc<follower::Board>,
     is_leaving: Arc<AtomicBool>,
@@ -51,10 +54,12 @@
             settings.peer_address,
             &settings.peer_seeds,
         ));
+        let metrics = Arc::new(metrics::Metrics::default());
         let store = Arc::new(relay::RelayedStore::new(
             platform.store,
             Arc::clone(&peers),
             clock.clone(),
+            Arc::clone(&metrics),
         ));
         let board = Arc::new(follower::Board::default());
         let known_terms = Arc::clone(&board);
@@ -86,6 +91,7 @@
             board: Arc::clone(&board),
             clock: clock.clone(),
             settings: settings.jobs,
+            metrics: Arc::clone(&metrics),
         };
         let candidate = leadership::Candidate {
             host: settings.host.clone(),
@@ -102,9 +108,11 @@
             board: Arc::clone(&board),
             store: Arc::clone(&store),
             clock,
+            metrics: Arc::clone(&metrics),
         });
         Ok(Self {
             gateway,
+            metrics,
             store,
             board,
             is_leaving,
@@ -119,6 +127,16 @@
         has_terms && self.store.is_reached() && !self.is_leaving()
     }
 
+    /// What is counted, as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be formatted.
+    pub fn metrics_text(&self) -> Result<String, std::fmt::Error> {
+        self.metrics.terms_version.set(self.board.version().0);
+        self.metrics.text()
+    }
+
     /// Whether the host leaves.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.load(Ordering::Relaxed)
@@ -199,8 +217,12 @@
             }
         }
     };
+    around.metrics.is_scheduling.set(1);
     while !reign.is_over() && !is_leaving.load(Ordering::Relaxed) {
-        match holder.renew(&*around.store, reign.waiting()).await {
+        let waiting = reign.waiting();
+        let jobs = i64::try_from(waiting.values().sum::<u64>());
+        around.metrics.waiting_jobs.set(jobs.unwrap_or(i64::MAX));
+        match holder.renew(&*around.store, waiting).await {
             leadership::Renewal::Renewed => {
                 reign.confirm(holder.confirmed());
                 around.clock.sleep(leadership::RENEWAL).await;
@@ -216,6 +238,8 @@
         }
     }
     reign.end();
+    around.metrics.is_scheduling.set(0);
+    around.metrics.waiting_jobs.set(0);
     if is_leaving.load(Ordering::Relaxed) {
         let released = holder.release(&*around.store).await;
         let released = format!("{released:?}");
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -6,7 +6,7 @@
 use async_std::task::block_on;
 use camphorbeam_clock as clock;
 use camphorbeam_host::call::{Call, Operation, Reply};
-use camphorbeam_host::{follower, gateway, peers, relay, rows, site};
+use camphorbeam_host::{follower, gateway, metrics, peers, relay, rows, site};
 use camphorbeam_jobs::progress::JobState;
 use camphorbeam_model::{fleet, id, job, terms};
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
@@ -77,10 +77,12 @@
     fn without_terms(clock: clock::Clock) -> Self {
         let own: SocketAddr = ([127, 0, 0, 1], 1).into();
         let store = MemoryStore::default();
+        let metrics = Arc::new(metrics::Metrics::default());
         let ways = relay::RelayedStore::new(
             Arc::new(store.clone()),
             Arc::new(peers::Peers::new(own, &[])),
             clock.clone(),
+            Arc::clone(&metrics),
         );
         Self {
             store,
@@ -88,6 +90,7 @@
                 board: Arc::new(follower::Board::default()),
                 store: Arc::new(ways),
                 clock,
+                metrics,
             },
         }
     }
@@ -232,3 +235,24 @@
     fixture.gateway.board.offer(&OneQueue, "3", "test");
     assert_eq!(fixture.gateway.board.version(), id::TermsVersion(7));
 }
+
+#[test]
+fn test_gateway_calls_show_in_the_metrics() {
+    let fixture = Fixture::new();
+    fixture.submit("k1", "j1");
+    fixture.store.set_fault(Fault::Busy);
+    fixture.submit("k1", "j2");
+    let text = fixture.gateway.metrics.text().unwrap();
+    for line in [
+        "camphorbeam_calls_total{what=\"submit\",outcome=\"queued\"} 1",
+        "camphorbeam_calls_total{what=\"submit\",outcome=\"not_now\"} 1",
+        "camphorbeam_call_latency_seconds_count{what=\"submit\"} 2",
+    ] {
+        assert!(text.contains(line), "no {line} in:\n{text}");
+    }
+    assert!(
+        text.contains("camphorbeam_store_calls_total{way=\"direct\",outcome=\"not_applied\"}"),
+        "{text}"
+    );
+    assert!(text.ends_with("# EOF\n"));
+}
--- a/lib/jobs/src/orders.rs
+++ b/lib/jobs/src/orders.rs
@@ -64,6 +64,23 @@
     },
 }
 
+impl StartOutcome {
+    /// Its name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Present => "present",
+            Self::Refused(StartRefusal::Fenced) => "fenced",
+            Self::Refused(StartRefusal::Outdated) => "outdated",
+            Self::Refused(StartRefusal::Late) => "late",
+            Self::Refused(StartRefusal::NoRoom) => "no_room",
+            Self::Refused(StartRefusal::Unhealthy) => "unhealthy",
+            Self::Refused(StartRefusal::OtherServer) => "other_server",
+            Self::Refused(StartRefusal::Invalid) => "invalid",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
 /// Why a backend server did not start a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartRefusal {
@@ -99,6 +116,18 @@
     },
 }
 
+impl StopOutcome {
+    /// Its name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Fenced => "fenced",
+            Self::OtherServer => "other_server",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
 /// A run that a backend server lists.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RunningEntry {
@@ -183,6 +212,18 @@
     },
 }
 
+impl HoldOutcome {
+    /// Its name, for metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Renewed(_) => "renewed",
+            Self::Fenced => "fenced",
+            Self::OtherServer => "other_server",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
+
 /// The task interface of backend servers.
 #[async_trait]
 pub trait BackendServers: Send + Sync {
