jobs: no end is acknowledged by the numbers of a life that may be over

Ruled out: a second scheduler (one epoch all the while). Change: after a hold without an answer the next one acknowledges nothing. Test: test_lost_server_that_starts_anew_unseen_keeps_the_ends_of_its_new_life, fails with the change off.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -402,6 +402,20 @@
         server.life += 1;
     }
 
+    /// Carries the newest start orders of `job` out on a server once more.
+    pub fn start_again(&mut self, on: &str, job: &id::JobId) {
+        let of_job = self.seen.iter().filter(|seen| &seen.name.task.job == job);
+        let names: Vec<RunName> = of_job.map(|seen| seen.name.clone()).collect();
+        let until_ms = self.now_ms + self.settings.lease_max_ms;
+        for name in names {
+            let server = self.server(on);
+            let is_cut = std::mem::replace(&mut server.is_cut, false);
+            server.lease_until_ms = until_ms;
+            self.start(on, &name, "");
+            self.server(on).is_cut = is_cut;
+        }
+    }
+
     /// State.
     pub fn state(&self, id: &id::JobId) -> JobState {
         self.stored
@@ -479,6 +493,7 @@
             };
             let server = self.servers.get_mut(&name).unwrap();
             if server.is_cut {
+                self.engine.hold_unanswered(&id);
                 continue;
             }
             for end in &server.ended {
--- a/lib/host/src/reign.rs
+++ b/lib/host/src/reign.rs
@@ -330,6 +330,7 @@
                     self.end();
                 }
                 orders::HoldOutcome::OtherServer | orders::HoldOutcome::Unknown { .. } => {
+                    self.lock().hold_unanswered(&server);
                     self.around.clock.sleep(HOLD_RETRY).await;
                 }
             }
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -292,7 +292,10 @@
         let has_unacknowledged = server.ends_seen > server.ends_acknowledged;
         Some(HoldOrder {
             lease_until_server_ms: server.next_lease(now.ms, settings.lease_max_ms),
-            ends_acknowledged: server.ends_acknowledged,
+            ends_acknowledged: match server.is_life_sure {
+                true => server.ends_acknowledged,
+                false => 0,
+            },
             wait_ms: match is_first || has_unacknowledged {
                 true => 0,
                 false => HOLD_WAIT_MS,
@@ -307,6 +310,13 @@
             .is_some_and(|server| !server.unstored_ends.is_empty())
     }
 
+    /// Notes that a hold got no answer.
+    pub fn hold_unanswered(&mut self, id: &id::BackendServerId) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.is_life_sure = false;
+        }
+    }
+
     /// Takes in the answer to a hold that was sent at `sent_ms`.
     pub fn hold_reply(
         &mut self,
@@ -339,6 +349,7 @@
                 at_ms: now.ms,
             });
             server.replied_ms = Some(now.ms);
+            server.is_life_sure = true;
         }
         self.take_ends(id, reply, now);
         self.take_running(id, sent_ms, reply, now);
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -47,6 +47,9 @@
     pub ends_seen: u64,
     /// Highest end that is recorded in the store.
     pub ends_acknowledged: u64,
+    /// Whether the newest hold was answered. After one that was not, the server may have started
+    /// anew, and numbers its ends from 1 again: none may be acknowledged by the old numbers.
+    pub is_life_sure: bool,
     /// Progress that must be stored before `ends_seen` can be acknowledged.
     pub unstored_ends: BTreeMap<id::JobId, u64>,
     /// Start orders that got no answer, and when they were sent: the server may carry them out
@@ -71,6 +74,7 @@
             lease_until_server_ms: 0,
             ends_seen: 0,
             ends_acknowledged: 0,
+            is_life_sure: false,
             unstored_ends: BTreeMap::new(),
             unclear_starts: BTreeMap::new(),
             used: job::Resources::default(),
--- a/lib/jobs/tests/test_lost_server.rs
+++ b/lib/jobs/tests/test_lost_server.rs
@@ -3,6 +3,7 @@
 use camphorbeam_fleet_model as support;
 
 use camphorbeam_fleet_model::{step, World};
+use camphorbeam_jobs::orders::EndKind;
 use camphorbeam_jobs::progress::JobState;
 
 /// Longest time after a server has died until its tasks start elsewhere: 2 s in which renewals may
@@ -43,3 +44,27 @@
     assert!(world.run_until(5_000, |world| world.state(&job) == JobState::Completed));
     world.assert_no_task_twice();
 }
+
+#[test]
+fn test_lost_server_that_starts_anew_unseen_keeps_the_ends_of_its_new_life() {
+    let mut world = World::new(1, 1, 0);
+    let first = world.submit("j1", support::NORMAL, "b", vec![step(4, 2, 500)]);
+    assert!(world.run_until(3_000, |world| world.state(&first) == JobState::Completed));
+    world.run(200);
+    // It crashes behind a partition, and an order that was under way reaches its new life.
+    let second = world.submit("j2", support::NORMAL, "b", vec![step(1, 2, 500)]);
+    world.run(100);
+    world.server("s0-0").is_cut = true;
+    world.crash("s0-0");
+    world.start_again("s0-0", &second);
+    world.run(1_000);
+    world.server("s0-0").is_cut = false;
+    assert!(world.run_until(5_000, |world| world.state(&second) == JobState::Completed));
+    world.assert_no_task_twice();
+    let runs = world
+        .seen
+        .iter()
+        .filter(|seen| seen.name.task.job == second);
+    let done = runs.filter(|seen| seen.end == Some(EndKind::Done)).count();
+    assert_eq!(done, 1, "{:?}", world.seen);
+}
