host: terms are followed through the store and through peers side by side; peers are asked at once

Reading the follower: one read waited for the store (1 s), then for three peers in a row (1.9 s each), then for two more. Ruled out: the feed itself (other hosts had it at once). Change: the follower reads by the own connection alone; peers are asked in a loop of their own. Relayed reads ask their peers all at once, relayed writes stop asking after 0.6 s.

--- a/lib/host/src/follower.rs
+++ b/lib/host/src/follower.rs
@@ -1,11 +1,13 @@
 //! Follows the operators' terms. The version in hand only rises.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use camphorbeam_clock as clock;
 use camphorbeam_model::{id, terms};
 use camphorbeam_platform::store::{self, Store};
+use futures::future;
 
 use crate::{peers, relay, site, wakeup};
 
@@ -17,7 +19,16 @@
 const READ_INTERVAL: Duration = Duration::from_millis(5_000);
 
 /// Wait after a failure before the next try.
-const RETRY: Duration = Duration::from_millis(150);
+const RETRY: Duration = Duration::from_millis(250);
+
+/// Time between two rounds in which other hosts are asked for their terms.
+const PEER_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Limit for the answer of another host, which has its terms in memory.
+const PEER_LIMIT: Duration = Duration::from_millis(700);
+
+/// Other hosts that are asked in one round.
+const PEERS_ASKED: usize = 2;
 
 /// The terms in hand.
 #[derive(Debug, Default)]
@@ -110,8 +121,13 @@
 }
 
 impl Follower {
-    /// Follows the terms for ever.
+    /// Follows the terms for ever, through the store and through other hosts side by side: neither
+    /// waits for the other.
     pub async fn run(self) {
+        future::join(self.follow_store(), self.follow_peers()).await;
+    }
+
+    async fn follow_store(&self) {
         let mut version = 0;
         let mut read_at: Option<clock::Monotonic> = None;
         loop {
@@ -131,20 +147,18 @@
         }
     }
 
-    /// Reads the row; returns the store's version.
+    /// Reads the row by the own connection; returns the store's version.
     async fn read(&self) -> Option<u64> {
-        match store::read_row(&*self.store, &self.site.terms_row()).await {
-            Ok((row, rows)) => {
-                if let Some(text) = row.and_then(|row| row.value) {
-                    self.board.offer(&*self.site, &text, "read");
-                }
-                Some(rows.version)
-            }
-            Err(_) => {
-                self.ask_peers().await;
-                None
-            }
+        let key = self.site.terms_row();
+        let end = format!("{}\0", key.key);
+        let reading = self
+            .store
+            .direct_rows(&key.table, &key.part, &key.key, &end);
+        let mut rows = reading.await.ok()?;
+        if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
+            self.board.offer(&*self.site, &text, "read");
         }
+        Some(rows.version)
     }
 
     async fn follow(&self, version: u64) -> Option<u64> {
@@ -161,12 +175,25 @@
         }
     }
 
-    async fn ask_peers(&self) {
-        for address in self.peers.order().into_iter().take(2) {
-            if let Ok(Some(text)) = self.peers.terms(address).await {
-                self.board.offer(&*self.site, &text, "peer");
-                return;
+    /// Asks other hosts for their terms while the own connection to the store does not work.
+    async fn follow_peers(&self) {
+        loop {
+            self.clock.sleep(PEER_INTERVAL).await;
+            if self.store.is_direct() {
+                continue;
             }
+            let order = self.peers.order().into_iter().take(PEERS_ASKED);
+            let asked = order.map(|address| self.ask(address));
+            future::join_all(asked).await;
+        }
+    }
+
+    async fn ask(&self, address: SocketAddr) {
+        let asking = self.peers.terms(address);
+        match self.clock.timeout(PEER_LIMIT, asking).await {
+            Ok(Ok(Some(text))) => self.board.offer(&*self.site, &text, "peer"),
+            Ok(Ok(None)) => {}
+            Ok(Err(_)) | Err(_) => self.peers.demote(address),
         }
     }
 }
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -8,6 +8,7 @@
 use camphorbeam_clock as clock;
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
+use futures::future;
 
 use crate::{metrics, peers};
 
@@ -17,6 +18,9 @@
 /// Hosts that are asked for one call.
 const PEERS_TRIED_MAX: usize = 3;
 
+/// Time after which no further host is asked for one call.
+const RELAY_LIMIT: Duration = Duration::from_millis(600);
+
 /// Wait before a feed that can't be followed is given up, so that its reader does not spin.
 const FEED_PAUSE: Duration = Duration::from_millis(250);
 
@@ -128,6 +132,25 @@
         }
     }
 
+    /// Reads by the own connection alone, also while it is left alone for other calls.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::rows`].
+    pub async fn direct_rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        let sent = self.clock.now();
+        let result = self.direct.rows(table, part, from, to).await;
+        self.count("direct", &result, sent);
+        self.note_direct(&result);
+        result
+    }
+
     fn helpers(&self) -> Vec<SocketAddr> {
         let mut order = self.peers.order();
         order.truncate(PEERS_TRIED_MAX);
@@ -152,27 +175,27 @@
     ) -> Result<store::Rows, PlatformError> {
         let mut last = no_way();
         if self.is_direct_usable() {
-            let sent = self.clock.now();
-            let result = self.direct.rows(table, part, from, to).await;
-            self.count("direct", &result, sent);
-            self.note_direct(&result);
-            match result {
+            match self.direct_rows(table, part, from, to).await {
                 Ok(rows) => return Ok(rows),
                 Err(error @ PlatformError::Rejected { .. }) => return Err(error),
                 Err(error) => last = error,
             }
         }
-        for address in self.helpers() {
-            let sent = self.clock.now();
-            let result = self.peers.rows(address, table, part, from, to).await;
-            self.count("relay", &result, sent);
-            self.note_relay(address, &result);
-            match result {
-                Ok(rows) => return Ok(rows),
-                Err(error) => last = error,
-            }
+        // All are asked at once: one after the other, silent ones would add up to many seconds.
+        let asked = self.helpers().into_iter().map(|address| {
+            Box::pin(async move {
+                let sent = self.clock.now();
+                let result = self.peers.rows(address, table, part, from, to).await;
+                self.count("relay", &result, sent);
+                self.note_relay(address, &result);
+                result
+            })
+        });
+        let asked: Vec<_> = asked.collect();
+        match asked.is_empty() {
+            true => Err(last),
+            false => future::select_ok(asked).await.map(|(rows, _)| rows),
         }
-        Err(last)
     }
 
     async fn commit(
@@ -190,8 +213,12 @@
                 other => return other,
             }
         }
+        let started = self.clock.now();
         for address in self.helpers() {
             let sent = self.clock.now();
+            if sent.since(started) > RELAY_LIMIT {
+                break;
+            }
             let result = self.peers.commit(address, transaction).await;
             self.count("relay", &result, sent);
             self.note_relay(address, &result);
