testing: a soak of camphorbeam host with real processes

Change: four hosts on a stand-in of the users' platform (store, six workers, terms), callers that try again elsewhere, and a seeded plan of overlapping faults: kills, freezes, SIGTERM, store busy, losing answers, late or without history, links cut, silent or without answers, workers that crash or fail all. Checked from what callers and workers see: no task twice, none after its end, nothing refused, unknown or changed is started, states true and the same at every host, all ended in time.

--- /dev/null
+++ b/testing/src/site_store.rs
@@ -0,0 +1,202 @@
+//! The store of the users' platform over HTTP, out of a store in memory.
+
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::net::TcpListener;
+use async_std::task;
+use base64::prelude::{Engine as _, BASE64_STANDARD};
+use camphorbeam_clock as clock;
+use camphorbeam_http::{meter, server};
+use camphorbeam_platform::memory_store::MemoryStore;
+use camphorbeam_platform::store::{self, Store as _};
+use camphorbeam_platform::table::PlatformError;
+use http_types::{Response, StatusCode};
+
+/// Time between two looks of a waiting feed.
+const FEED_POLL: Duration = Duration::from_millis(20);
+
+/// An answer under way.
+pub type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+#[derive(Default, serde::Serialize, serde::Deserialize)]
+struct Entry {
+    table: String,
+    part: String,
+    key: String,
+    #[serde(default)]
+    ver: u64,
+    #[serde(default)]
+    value: Option<String>,
+    #[serde(default)]
+    removed: bool,
+}
+
+#[derive(serde::Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expected: Vec<Entry>,
+    #[serde(default)]
+    writes: Vec<Entry>,
+    #[serde(default)]
+    remove: Vec<Entry>,
+}
+
+#[derive(serde::Serialize)]
+struct Rows {
+    rows: Vec<Entry>,
+    more_pages: bool,
+    ver: u64,
+    now_ms: u64,
+}
+
+impl Entry {
+    fn row_key(&self) -> store::RowKey {
+        store::RowKey::new(&self.table, &self.part, &self.key)
+    }
+
+    fn of(row: store::Row) -> Self {
+        Self {
+            removed: row.value.is_none(),
+            value: row.value.map(|value| BASE64_STANDARD.encode(value)),
+            table: row.key.table,
+            part: row.key.part,
+            key: row.key.key,
+            ver: row.version,
+        }
+    }
+}
+
+/// Serves `store` on a free port; returns its address.
+///
+/// # Errors
+///
+/// Fails if no port can be listened on.
+pub async fn start(store: MemoryStore, clock: clock::Clock) -> std::io::Result<SocketAddr> {
+    let handler = move |request: server::WholeRequest| -> Answer {
+        let store = store.clone();
+        Box::pin(async move { answer(&store, &request).await })
+    };
+    serve(clock, handler).await
+}
+
+/// Serves `handler` on a free port; returns its address.
+///
+/// # Errors
+///
+/// Fails if no port can be listened on.
+pub async fn serve<H>(clock: clock::Clock, handler: H) -> std::io::Result<SocketAddr>
+where
+    H: Fn(server::WholeRequest) -> Answer + Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let meter = Arc::new(meter::Meter::default());
+    task::spawn(server::serve(
+        listener,
+        clock,
+        server::Limits::default(),
+        meter,
+        handler,
+    ));
+    Ok(address)
+}
+
+async fn answer(store: &MemoryStore, request: &server::WholeRequest) -> Response {
+    let url = request.head.url();
+    let query: BTreeMap<String, String> = url.query_pairs().into_owned().collect();
+    let text = |name: &str| query.get(name).map_or("", String::as_str);
+    let number = |name: &str| text(name).parse::<u64>().unwrap_or(0);
+    let rows = match url.path() {
+        "/-/rows-get" => {
+            let found = store.rows(text("table"), text("part"), text("from"), text("to"));
+            found.await
+        }
+        "/-/rows-feed" => {
+            let wait = Duration::from_millis(number("wait_ms"));
+            match feed(store, text("table"), number("after"), wait).await {
+                Ok(store::Changes::Rows(rows)) => Ok(rows),
+                Ok(store::Changes::HistoryGone) => return Response::new(StatusCode::Gone),
+                Err(error) => Err(error),
+            }
+        }
+        "/-/rows-tx" => match commit(store, request).await {
+            Some(Ok(store::Commit::Applied { version })) => Ok(store::Rows {
+                version,
+                ..store::Rows::default()
+            }),
+            Some(Ok(store::Commit::Conflict { rows })) => {
+                let rows = rows.into_iter().map(Entry::of).collect();
+                return rows_response(StatusCode::PreconditionFailed, rows, 0, 0);
+            }
+            Some(Err(error)) => Err(error),
+            None => return Response::new(StatusCode::BadRequest),
+        },
+        _ => return Response::new(StatusCode::NotFound),
+    };
+    match rows {
+        Ok(found) => {
+            let entries = found.rows.into_iter().map(Entry::of).collect();
+            rows_response(StatusCode::Ok, entries, found.version, found.store_ms)
+        }
+        Err(PlatformError::NotApplied { .. }) => Response::new(StatusCode::ServiceUnavailable),
+        // Nobody can tell from this answer whether a write was done.
+        Err(_) => Response::new(StatusCode::InternalServerError),
+    }
+}
+
+fn rows_response(status: StatusCode, rows: Vec<Entry>, ver: u64, now_ms: u64) -> Response {
+    let body = Rows {
+        rows,
+        more_pages: false,
+        ver,
+        now_ms,
+    };
+    server::json_response(status, &body)
+}
+
+async fn feed(
+    store: &MemoryStore,
+    table: &str,
+    after: u64,
+    wait: Duration,
+) -> Result<store::Changes, PlatformError> {
+    let mut waited = Duration::ZERO;
+    loop {
+        let changes = store.changes(table, after, Duration::ZERO).await?;
+        match &changes {
+            store::Changes::Rows(rows) if rows.rows.is_empty() && waited < wait => {
+                task::sleep(FEED_POLL).await;
+                waited += FEED_POLL;
+            }
+            _ => return Ok(changes),
+        }
+    }
+}
+
+/// `None` if the body is no transaction.
+async fn commit(
+    store: &MemoryStore,
+    request: &server::WholeRequest,
+) -> Option<Result<store::Commit, PlatformError>> {
+    let body = request.body.as_ref().ok()?;
+    let wire: Transaction = serde_json::from_slice(body).ok()?;
+    let mut transaction = store::Transaction::default();
+    for entry in &wire.expected {
+        transaction.conditions.push(store::Condition {
+            key: entry.row_key(),
+            version: entry.ver,
+        });
+    }
+    for entry in &wire.writes {
+        let bytes = BASE64_STANDARD.decode(entry.value.as_ref()?).ok()?;
+        let value = String::from_utf8(bytes).ok()?;
+        transaction.writes.push((entry.row_key(), value));
+    }
+    transaction.removals = wire.remove.iter().map(Entry::row_key).collect();
+    Some(store.commit(&transaction).await)
+}
