--- a/testing/src/site_soak.rs
+++ b/testing/src/site_soak.rs
@@ -378,7 +378,7 @@
                 handle.terminate();
                 format!("terminate {}", host.name)
             }
-            5 | 6 | 7 => {
+            5..=7 => {
                 let fault = [Fault::Busy, Fault::AnswersLost, Fault::Late][kind - 5];
                 self.store.set_fault(fault);
                 let store = self.store.clone();
