testing: the soak tells an end that a crash has taken from one that is taken note of

The check mixed up the runs; it follows each run now, and counts one end for all members of a gang, which it did not before.

--- a/testing/src/site_workers.rs
+++ b/testing/src/site_workers.rs
@@ -89,9 +89,13 @@
 /// What is known of a task over all workers.
 #[derive(Clone, Debug, Default)]
 struct Truth {
-    is_done: bool,
+    is_gang: bool,
+    /// Runs that have ended as done.
+    done_runs: BTreeSet<u64>,
+    /// Those of them after which the task was started again: nobody may take note of them then.
+    /// The end of a run that a crash has taken may be unknown for good.
+    outdated_runs: BTreeSet<u64>,
     is_done_acknowledged: bool,
-    has_started_after_done: bool,
     failed_runs: BTreeSet<u64>,
 }
 
@@ -183,7 +187,7 @@
             ));
         }
         let truth = self.tasks.entry(order.task.clone()).or_default();
-        truth.has_started_after_done |= truth.is_done;
+        truth.outdated_runs.extend(&truth.done_runs);
         let is_settled = truth.is_done_acknowledged;
         if is_settled {
             self.violation(&format!("{} starts after its end", order.task));
@@ -200,11 +204,24 @@
             ended.into_iter().partition(|end| end.number <= upto);
         self.workers[place].ended = left;
         for end in seen.iter().filter(|end| end.how == "done") {
-            let truth = self.tasks.entry(end.task.clone()).or_default();
-            truth.is_done_acknowledged = true;
-            if truth.has_started_after_done {
-                self.violation(&format!("{} was started after it was done", end.task));
+            let is_gang = self.tasks[&end.task].is_gang;
+            let is_meant = |task: &str| match is_gang {
+                // One end stands for all members.
+                true => gang_of(task) == gang_of(&end.task),
+                false => task == end.task,
+            };
+            let mut violations = Vec::new();
+            let meant = self.tasks.iter_mut().filter(|(task, _)| is_meant(task));
+            for (task, truth) in meant {
+                truth.is_done_acknowledged = true;
+                if truth.outdated_runs.contains(&end.run) {
+                    violations.push(format!(
+                        "{task} was started after its run {} was done",
+                        end.run
+                    ));
+                }
             }
+            self.violations.extend(violations);
         }
     }
 
@@ -267,8 +284,11 @@
         members: Vec<(usize, String)>,
     ) {
         if how == "done" {
-            for (_, member) in &members {
-                self.tasks.entry(member.clone()).or_default().is_done = true;
+            for (at, member) in &members {
+                let run = &self.workers[*at].running[member];
+                let truth = self.tasks.entry(member.clone()).or_default();
+                truth.is_gang = run.work.gang_size > 0;
+                truth.done_runs.insert(run.number);
             }
         }
         if let ("failed", Some(run)) = (how, self.workers[place].running.get(task)) {
@@ -378,7 +398,7 @@
     pub fn is_done(&self, job: &str, tasks: u32) -> bool {
         let state = self.lock();
         let done = state.tasks.iter();
-        let done = done.filter(|(task, truth)| job_of(task) == job && truth.is_done);
+        let done = done.filter(|(task, truth)| job_of(task) == job && !truth.done_runs.is_empty());
         done.count() >= tasks as usize
     }
 
