--- a/testing/src/site_soak.rs
+++ b/testing/src/site_soak.rs
@@ -160,8 +160,14 @@
     Ok(report)
 }
 
-fn free_address() -> std::io::Result<SocketAddr> {
-    std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+/// Free addresses, all different.
+fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
+    let bind = |_| std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners: Vec<_> = (0..count).map(bind).collect::<Result<_, _>>()?;
+    listeners
+        .iter()
+        .map(|listener| listener.local_addr())
+        .collect()
 }
 
 fn terms_text() -> String {
@@ -214,14 +220,13 @@
             store,
             client: Arc::new(client::HttpClient::new(clock, meter)),
         };
-        let mut controls = Vec::new();
-        for _ in 0..HOSTS {
-            controls.push(free_address()?);
-        }
+        let addresses = free_addresses(3 * HOSTS)?;
+        let (controls, others) = addresses.split_at(HOSTS);
         for number in 0..HOSTS {
             let link = Proxy::start(&format!("store-{number}"), proxy::Rules::default()).await?;
             link.set_upstream(store_address);
-            soak.add_host(number, &controls, link)?;
+            let (front, ready) = (others[number], others[HOSTS + number]);
+            soak.add_host(number, controls, front, ready, link)?;
         }
         soak.await_ready().await?;
         Ok(soak)
@@ -231,13 +236,14 @@
         &mut self,
         number: usize,
         controls: &[SocketAddr],
+        front: SocketAddr,
+        ready: SocketAddr,
         store_link: Proxy,
     ) -> anyhow::Result<()> {
         let name = format!("h{number}");
-        let front = free_address()?;
         let settings = serde_json::json!({
             "node": name, "zone": "z",
-            "listen": {"front": front, "ready": free_address()?, "control": controls[number]},
+            "listen": {"front": front, "ready": ready, "control": controls[number]},
             "seeds": controls,
             "limits": {"cpu_share": 1.0, "cores": 1},
             "bounds": {
