host: a host without its own way to the store keeps reading through others, and stays ready

Change: while the own connection fails, the terms are read through peers; only if that fails, the peers' memory is asked. Test: test_follower_keeps_the_store_reached_through_another_host, failed before.

--- a/lib/host/src/follower.rs
+++ b/lib/host/src/follower.rs
@@ -175,13 +175,25 @@
         }
     }
 
-    /// Asks other hosts for their terms while the own connection to the store does not work.
+    /// Reads through other hosts while the own connection to the store does not work, which also
+    /// tells whether there is any way to the store; without one, asks the others for their terms.
     async fn follow_peers(&self) {
+        let key = self.site.terms_row();
+        let end = format!("{}\0", key.key);
         loop {
             self.clock.sleep(PEER_INTERVAL).await;
             if self.store.is_direct() {
                 continue;
             }
+            let reading = self
+                .store
+                .relayed_rows(&key.table, &key.part, &key.key, &end);
+            if let Ok(Ok(mut rows)) = self.clock.timeout(PEER_LIMIT, reading).await {
+                if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
+                    self.board.offer(&*self.site, &text, "relay");
+                }
+                continue;
+            }
             let order = self.peers.order().into_iter().take(PEERS_ASKED);
             let asked = order.map(|address| self.ask(address));
             future::join_all(asked).await;
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -151,6 +151,35 @@
         result
     }
 
+    /// Reads through other hosts. All are asked at once: one after the other, silent ones would add
+    /// up to many seconds.
+    ///
+    /// # Errors
+    ///
+    /// As [`Store::rows`], if no host could read.
+    pub async fn relayed_rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        let asked = self.helpers().into_iter().map(|address| {
+            Box::pin(async move {
+                let sent = self.clock.now();
+                let result = self.peers.rows(address, table, part, from, to).await;
+                self.count("relay", &result, sent);
+                self.note_relay(address, &result);
+                result
+            })
+        });
+        let asked: Vec<_> = asked.collect();
+        match asked.is_empty() {
+            true => Err(no_way()),
+            false => future::select_ok(asked).await.map(|(rows, _)| rows),
+        }
+    }
+
     fn helpers(&self) -> Vec<SocketAddr> {
         let mut order = self.peers.order();
         order.truncate(PEERS_TRIED_MAX);
@@ -173,29 +202,15 @@
         from: &str,
         to: &str,
     ) -> Result<store::Rows, PlatformError> {
-        let mut last = no_way();
         if self.is_direct_usable() {
             match self.direct_rows(table, part, from, to).await {
                 Ok(rows) => return Ok(rows),
                 Err(error @ PlatformError::Rejected { .. }) => return Err(error),
-                Err(error) => last = error,
+                // The outcome is in the log and the metrics; another host may do better.
+                Err(_) => {}
             }
         }
-        // All are asked at once: one after the other, silent ones would add up to many seconds.
-        let asked = self.helpers().into_iter().map(|address| {
-            Box::pin(async move {
-                let sent = self.clock.now();
-                let result = self.peers.rows(address, table, part, from, to).await;
-                self.count("relay", &result, sent);
-                self.note_relay(address, &result);
-                result
-            })
-        });
-        let asked: Vec<_> = asked.collect();
-        match asked.is_empty() {
-            true => Err(last),
-            false => future::select_ok(asked).await.map(|(rows, _)| rows),
-        }
+        self.relayed_rows(table, part, from, to).await
     }
 
     async fn commit(
--- a/lib/host/tests/test_follower.rs
+++ b/lib/host/tests/test_follower.rs
@@ -16,7 +16,7 @@
 
 impl site::Site for VersionOnly {
     fn terms_row(&self) -> store::RowKey {
-        store::RowKey::new("terms", "", "newest")
+        version_row()
     }
 
     fn decode_terms(&self, text: &str) -> anyhow::Result<terms::Terms> {
@@ -39,34 +39,75 @@
 /// state; half of it is left to a slow store and a slow host.
 const IN_FORCE_MAX: Duration = Duration::from_millis(1_000);
 
-#[test]
-fn test_follower_does_not_wait_for_silent_peers_once_the_store_is_back() {
-    let silent: Vec<TcpListener> = (0..3)
-        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
-        .collect();
-    let addresses: Vec<SocketAddr> = silent
-        .iter()
-        .map(|listener| listener.local_addr().unwrap())
-        .collect();
+fn version_row() -> store::RowKey {
+    store::RowKey::new("terms", "", "newest")
+}
+
+/// A host that follows the terms, with its own connection to `memory`.
+fn follow(
+    memory: &MemoryStore,
+    peer_addresses: &[SocketAddr],
+) -> (follower::Follower, Arc<relay::RelayedStore>) {
     let own: SocketAddr = ([127, 0, 0, 1], 1).into();
     let clock = clock::Clock::system();
-    let memory = MemoryStore::default();
-    memory.put(&store::RowKey::new("terms", "", "newest"), "1");
-    let peers = Arc::new(peers::Peers::new(own, &addresses));
-    let ways = relay::RelayedStore::new(
+    let peers = Arc::new(peers::Peers::new(own, peer_addresses));
+    let ways = Arc::new(relay::RelayedStore::new(
         Arc::new(memory.clone()),
         Arc::clone(&peers),
         clock.clone(),
         Arc::new(metrics::Metrics::default()),
-    );
-    let board = Arc::new(follower::Board::default());
+    ));
     let following = follower::Follower {
-        board: Arc::clone(&board),
-        store: Arc::new(ways),
+        board: Arc::new(follower::Board::default()),
+        store: Arc::clone(&ways),
         peers,
         site: Arc::new(VersionOnly),
         clock,
     };
+    (following, ways)
+}
+
+#[test]
+fn test_follower_keeps_the_store_reached_through_another_host() {
+    let memory = MemoryStore::default();
+    memory.put(&version_row(), "1");
+    let cut_off = MemoryStore::default();
+    cut_off.set_fault(Fault::Busy);
+    let address = TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    task::block_on(async {
+        let (helper, ways) = follow(&memory, &[]);
+        let relay = relay::DirectRelay {
+            ways,
+            terms: Arc::new(|| None),
+        };
+        let _serving = peers::serve(address, Arc::new(relay)).unwrap();
+        task::spawn(helper.run());
+        let (following, ways) = follow(&cut_off, &[address]);
+        let board = Arc::clone(&following.board);
+        task::spawn(following.run());
+        // Longer than a host without any way to the store counts as reaching it.
+        task::sleep(Duration::from_millis(4_000)).await;
+        assert!(ways.is_reached(), "callers would be sent away");
+        assert_eq!(board.version(), id::TermsVersion(1));
+    });
+}
+
+#[test]
+fn test_follower_does_not_wait_for_silent_peers_once_the_store_is_back() {
+    let silent: Vec<TcpListener> = (0..3)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
+    let addresses: Vec<SocketAddr> = silent
+        .iter()
+        .map(|listener| listener.local_addr().unwrap())
+        .collect();
+    let memory = MemoryStore::default();
+    memory.put(&version_row(), "1");
+    let (following, _) = follow(&memory, &addresses);
+    let board = Arc::clone(&following.board);
     task::block_on(async {
         task::spawn(following.run());
         task::sleep(Duration::from_millis(300)).await;
@@ -74,7 +115,7 @@
         memory.set_fault(Fault::Late);
         task::sleep(Duration::from_millis(1_500)).await;
         memory.set_fault(Fault::None);
-        memory.put(&store::RowKey::new("terms", "", "newest"), "2");
+        memory.put(&version_row(), "2");
         task::sleep(IN_FORCE_MAX).await;
         assert_eq!(board.version(), id::TermsVersion(2));
     });
