--- a/lib/fleet-model/examples/large_days.rs
+++ b/lib/fleet-model/examples/large_days.rs
@@ -59,7 +59,7 @@
                 mean(&|report| report.lost_core_s),
                 longest.unwrap_or_default().as_secs_f64() * 1e3,
             );
-            for number in 0..kinds.len() {
+            for (number, kind) in kinds.iter().enumerate() {
                 let share =
                     |of: &dyn Fn(&report::KindReport) -> usize,
                      among: &dyn Fn(&report::Report) -> report::KindReport| {
@@ -69,7 +69,7 @@
                 let largest = |report: &report::Report| report.largest[number].clone();
                 println!(
                     "    {:8} in time {:.2} late {:.2}; largest tenth in time {:.2} late {:.2}",
-                    kinds[number].queue,
+                    kind.queue,
                     share(&|served| served.in_time, &all),
                     share(&|served| served.late, &all),
                     share(&|served| served.in_time, &largest),
