host: a host that starts first learns of the others within seconds

It had registered first and read an empty list, for which it dropped its seeds; the next read came 20 s later. Ruled out: the peers' own way to the store (they served callers all the while). Change: seeds stay known, and the list is read again 3 s after the first write. Tests: test_registry, two, both failed before.

--- a/lib/host/src/peers.rs
+++ b/lib/host/src/peers.rs
@@ -153,6 +153,7 @@
 #[derive(Debug)]
 pub struct Peers {
     own: SocketAddr,
+    seeds: Vec<SocketAddr>,
     state: Mutex<State>,
 }
 
@@ -167,9 +168,10 @@
     pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let peers = Self {
             own,
+            seeds: seeds.to_vec(),
             state: Mutex::default(),
         };
-        peers.set_known(seeds);
+        peers.set_known(&[]);
         peers
     }
 
@@ -177,11 +179,14 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in which hosts there are. Known ones keep their place.
+    /// Takes in which hosts there are. Known ones keep their place; the seeds stay known, since a
+    /// host that registers before the others reads an empty list.
     pub fn set_known(&self, addresses: &[SocketAddr]) {
         let mut state = self.lock();
-        state.order.retain(|address| addresses.contains(address));
-        for address in addresses {
+        let is_known =
+            |address: &SocketAddr| addresses.contains(address) || self.seeds.contains(address);
+        state.order.retain(is_known);
+        for address in addresses.iter().chain(&self.seeds) {
             if *address != self.own && !state.order.contains(address) {
                 state.order.push(*address);
             }
--- a/lib/host/src/registry.rs
+++ b/lib/host/src/registry.rs
@@ -12,6 +12,10 @@
 /// Time between two writes of the own row.
 const REFRESH: Duration = Duration::from_secs(20);
 
+/// Time from the first write to the second read: hosts start within a third of a second of each
+/// other, and the first of them reads a list without the others.
+const SECOND_READ: Duration = Duration::from_secs(3);
+
 /// Wait after a failure.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -22,8 +26,10 @@
     peers: Arc<peers::Peers>,
     clock: clock::Clock,
 ) {
+    let mut is_first = true;
     loop {
         let wait = match refresh(&settings, &store, &peers).await {
+            true if std::mem::take(&mut is_first) => SECOND_READ,
             true => REFRESH,
             false => RETRY,
         };
--- /dev/null
+++ b/lib/host/tests/test_registry.rs
@@ -0,0 +1,66 @@
+//! Hosts that start together learn of each other.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task;
+use camphorbeam_clock as clock;
+use camphorbeam_host::{metrics, peers, registry, relay, settings};
+use camphorbeam_jobs::settings as job_settings;
+use camphorbeam_model::id;
+use camphorbeam_platform::memory_store::MemoryStore;
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+fn register(memory: &MemoryStore, port: u16, seeds: &[SocketAddr]) -> Arc<peers::Peers> {
+    let clock = clock::Clock::system();
+    let peers = Arc::new(peers::Peers::new(address(port), seeds));
+    let ways = Arc::new(relay::RelayedStore::new(
+        Arc::new(memory.clone()),
+        Arc::clone(&peers),
+        clock.clone(),
+        Arc::new(metrics::Metrics::default()),
+    ));
+    let settings = settings::Settings {
+        host: id::HostId::new(&format!("h{port}")).unwrap(),
+        zone: id::ZoneName::new("z").unwrap(),
+        caller_address: address(1),
+        ready_address: address(2),
+        peer_address: address(port),
+        peer_seeds: seeds.to_vec(),
+        processor_share: 1.0,
+        grace_ms: 6_000,
+        store_address: address(3),
+        jobs: job_settings::Settings::default(),
+    };
+    task::spawn(registry::run(settings, ways, Arc::clone(&peers), clock));
+    peers
+}
+
+/// Traffic may come 10 s after the hosts have started, and trouble with it.
+const KNOWN_MAX: Duration = Duration::from_secs(5);
+
+#[test]
+fn test_registry_first_host_learns_of_those_that_start_after_it() {
+    let memory = MemoryStore::default();
+    task::block_on(async {
+        let first = register(&memory, 11, &[]);
+        task::sleep(Duration::from_millis(300)).await;
+        register(&memory, 12, &[]);
+        task::sleep(KNOWN_MAX).await;
+        assert_eq!(first.order(), [address(12)]);
+    });
+}
+
+#[test]
+fn test_registry_seeds_stay_known_while_nobody_else_is() {
+    let memory = MemoryStore::default();
+    task::block_on(async {
+        let first = register(&memory, 11, &[address(12), address(11)]);
+        task::sleep(Duration::from_millis(300)).await;
+        assert_eq!(first.order(), [address(12)]);
+    });
+}
