--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -347,6 +347,29 @@
         queue: &str,
         of: &str,
         steps: Vec<job::StepSpec>,
+    ) -> id::JobId {
+        self.submit_job(name, queue, of, steps, None)
+    }
+
+    /// Submits a job whose steps run several times.
+    pub fn submit_scheduled(
+        &mut self,
+        name: &str,
+        queue: &str,
+        of: &str,
+        steps: Vec<job::StepSpec>,
+        schedule: job::Schedule,
+    ) -> id::JobId {
+        self.submit_job(name, queue, of, steps, Some(schedule))
+    }
+
+    fn submit_job(
+        &mut self,
+        name: &str,
+        queue: &str,
+        of: &str,
+        steps: Vec<job::StepSpec>,
+        schedule: Option<job::Schedule>,
     ) -> id::JobId {
         let id = id::JobId::new(name).unwrap();
         let priority = self.terms.queue(&id::QueueName::new(queue).unwrap());
@@ -358,7 +381,7 @@
             spec: job::JobSpec {
                 payload: "p".into(),
                 steps,
-                schedule: None,
+                schedule,
             },
         };
         self.accepted.insert(id.clone(), accepted.clone());
--- /dev/null
+++ b/lib/jobs/tests/test_rules.rs
@@ -0,0 +1,144 @@
+//! What a caller's job may rely on: attempts, order, placement, schedules, lasting tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use camphorbeam_fleet_model as support;
+use camphorbeam_fleet_model::{gang, step, Seen, Truth, World};
+use camphorbeam_jobs::orders::EndKind;
+use camphorbeam_jobs::progress::JobState;
+use camphorbeam_model::{id, job};
+
+/// Attempts of the model's queues.
+const ATTEMPTS: usize = 3;
+
+fn of_job<'a>(world: &'a World, job: &'a id::JobId) -> impl Iterator<Item = &'a Seen> + 'a {
+    world
+        .seen
+        .iter()
+        .filter(move |seen| &seen.name.task.job == job)
+}
+
+fn hopeless(world: &mut World, name: &str) {
+    let truth = Truth {
+        is_hopeless: true,
+        ..Truth::default()
+    };
+    world.truths.insert(id::JobId::new(name).unwrap(), truth);
+}
+
+#[test]
+fn test_rules_a_gang_has_as_many_runs_as_attempts_whatever_its_width() {
+    let mut world = World::new(1, 6, 0);
+    hopeless(&mut world, "j1");
+    let job = world.submit("j1", support::NORMAL, "b", vec![gang(3, 8, 500)]);
+    world.run(15_000);
+    assert_eq!(world.state(&job), JobState::Failed);
+    let runs: BTreeSet<_> = of_job(&world, &job).map(|seen| seen.name.run).collect();
+    assert_eq!(runs.len(), ATTEMPTS);
+}
+
+#[test]
+fn test_rules_attempts_are_counted_over_a_takeover() {
+    let mut world = World::new(1, 6, 0);
+    hopeless(&mut world, "j1");
+    let job = world.submit("j1", support::NORMAL, "b", vec![step(1, 8, 500)]);
+    for _ in 0..12 {
+        world.run(700);
+        world.take_over();
+    }
+    world.run(15_000);
+    assert_eq!(world.state(&job), JobState::Failed);
+    let failed = of_job(&world, &job).filter(|seen| seen.end == Some(EndKind::Failed));
+    assert_eq!(failed.count(), ATTEMPTS);
+}
+
+#[test]
+fn test_rules_tasks_run_only_where_their_label_is() {
+    let mut world = World::new(2, 3, 0);
+    let labelled = job::StepSpec {
+        required_label: Some("r1".into()),
+        ..step(30, 2, 500)
+    };
+    let job = world.submit("j1", support::NORMAL, "b", vec![labelled]);
+    assert!(world.run_until(20_000, |world| world.state(&job) == JobState::Completed));
+    assert!(of_job(&world, &job).all(|seen| seen.server.starts_with("s1-")));
+}
+
+#[test]
+fn test_rules_tasks_of_a_step_keep_to_their_spread() {
+    let mut world = World::new(1, 4, 0);
+    let spread = job::StepSpec {
+        per_server_max: 2,
+        ..step(12, 1, 900)
+    };
+    let job = world.submit("j1", support::NORMAL, "b", vec![spread]);
+    assert!(world.run_until(20_000, |world| world.state(&job) == JobState::Completed));
+    let runs: Vec<&Seen> = of_job(&world, &job).collect();
+    for at in &runs {
+        let beside = runs.iter().filter(|other| {
+            other.server == at.server
+                && other.from_ms <= at.from_ms
+                && other.to_ms.is_none_or(|to_ms| to_ms > at.from_ms)
+        });
+        assert!(beside.count() <= 2, "{runs:?}");
+    }
+}
+
+#[test]
+fn test_rules_occurrences_start_when_they_are_due_and_once_each() {
+    let mut world = World::new(1, 2, 0);
+    let first_unix_ms = world.now_ms + 2_000;
+    let schedule = job::Schedule {
+        first_unix_ms,
+        interval_ms: 3_000,
+        occurrences: 3,
+    };
+    let job = world.submit_scheduled("j1", support::NORMAL, "b", vec![step(2, 1, 500)], schedule);
+    world.run(5_000);
+    world.take_over();
+    assert!(world.run_until(10_000, |world| world.state(&job) == JobState::Completed));
+    let mut starts: BTreeMap<u32, usize> = BTreeMap::new();
+    for seen in of_job(&world, &job) {
+        let occurrence = seen.name.task.index.occurrence;
+        let due_ms = first_unix_ms + 3_000 * u64::from(occurrence);
+        assert!(seen.from_ms >= due_ms, "{seen:?} is due at {due_ms}");
+        *starts.entry(occurrence).or_default() += 1;
+    }
+    assert_eq!(starts, [(0, 2), (1, 2), (2, 2)].into());
+}
+
+#[test]
+fn test_rules_lasting_tasks_are_restarted_however_they_end_until_they_are_cancelled() {
+    let mut world = World::new(1, 3, 0);
+    let lasting = job::StepSpec {
+        is_lasting: true,
+        ..step(2, 8, 1_000)
+    };
+    let job = world.submit("j1", support::NORMAL, "b", vec![lasting]);
+    world.run(1_000);
+    world.crash("s0-0");
+    world.crash("s0-1");
+    world.crash("s0-2");
+    world.run(20_000);
+    assert_eq!(world.state(&job), JobState::Running);
+    assert!(of_job(&world, &job).count() > 4, "{:?}", world.seen);
+    world.cancel(&job);
+    world.run(2_000);
+    assert_eq!(world.state(&job), JobState::Cancelled);
+    assert!(of_job(&world, &job).all(|seen| seen.to_ms.is_some()));
+}
+
+#[test]
+fn test_rules_urgent_work_does_not_stop_lasting_tasks() {
+    let mut world = World::new(1, 2, 16);
+    let lasting = job::StepSpec {
+        is_lasting: true,
+        away_max: 0,
+        ..step(1, 8, 60_000)
+    };
+    let job = world.submit("j1", support::BATCH, "b", vec![lasting]);
+    world.run(1_000);
+    world.submit("urgent", support::URGENT, "a", vec![gang(2, 8, 1_000)]);
+    world.run(5_000);
+    assert!(of_job(&world, &job).all(|seen| seen.to_ms.is_none()));
+}
