--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -2,22 +2,19 @@
 //! watched over a simulated time without any I/O.
 
 pub mod load;
+mod orders;
 pub mod report;
 mod work;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use camphorbeam_jobs::engine::{Engine, Now, Order};
+use camphorbeam_jobs::engine::{Engine, Now};
 use camphorbeam_jobs::note::Note;
-use camphorbeam_jobs::orders::{
-    EndEntry, EndKind, HoldReply, RunName, RunningEntry, StartOrder, StartOutcome, StartRefusal,
-    StopOutcome,
-};
+use camphorbeam_jobs::orders::{EndEntry, EndKind, HoldReply, RunName, RunningEntry};
 use camphorbeam_jobs::progress::{JobState, Progress};
 use camphorbeam_jobs::settings::Settings;
 use camphorbeam_model::{fleet, id, job, terms};
-use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 
@@ -27,9 +24,6 @@
 /// Where the simulated time begins on the engine's clock.
 pub const ORIGIN_MS: u64 = 1_000_000;
 
-/// Time that a modelled server takes to end a stopped run.
-const STOP_TAKES_MS: u64 = 400;
-
 /// Service.
 pub const SERVICE: &str = "svc";
 /// Urgent.
@@ -93,16 +87,6 @@
     lease_until_ms: u64,
 }
 
-/// A start order under way for seconds.
-struct LateOrder {
-    at_ms: u64,
-    on: String,
-    epoch: u64,
-    until_ms: u64,
-    name: RunName,
-    checkpoint: Arc<str>,
-}
-
 /// One run of a task, as the servers saw it.
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -167,7 +151,7 @@
     pub is_store_away: bool,
     /// Share of start orders that get no answer and are carried out 2 to 12 s later.
     pub late_share: f64,
-    late: Vec<LateOrder>,
+    late: Vec<orders::LateOrder>,
     epoch: u64,
     random: ChaCha8Rng,
     /// The engine's decisions, with their times.
@@ -553,130 +537,6 @@
         }
     }
 
-    fn deliver(&mut self) {
-        let now = self.now();
-        for order in self.engine.take_orders() {
-            let (Order::Start(on, _) | Order::Stop(on, _)) = &order;
-            if self.engine.address(on).is_none() {
-                // A host has nowhere to send it.
-                continue;
-            }
-            match order {
-                Order::Start(on, start) => {
-                    let outcome = self.start_or_delay(on.as_str(), &start);
-                    self.engine.start_reply(&start.name, &outcome, now);
-                }
-                Order::Stop(on, name) => {
-                    let server = self.servers.get_mut(on.as_str()).unwrap();
-                    let outcome = match server.is_cut {
-                        true => StopOutcome::Unknown {
-                            reason: "cut".to_owned(),
-                        },
-                        false => {
-                            let ruled_out = server.ended_runs.entry(name.task.clone()).or_default();
-                            if !server.running.contains_key(&name) {
-                                *ruled_out = (*ruled_out).max(name.run);
-                            }
-                            if let Some(run) = server.running.get_mut(&name) {
-                                run.stop_at_ms.get_or_insert(now.ms + STOP_TAKES_MS);
-                            }
-                            StopOutcome::Accepted
-                        }
-                    };
-                    self.engine.stop_reply(&name, &outcome, now);
-                }
-            }
-        }
-    }
-
-    fn start_or_delay(&mut self, on: &str, start: &StartOrder) -> StartOutcome {
-        if !self.random.random_bool(self.late_share) {
-            let server = self.servers.get_mut(on).unwrap();
-            if !server.is_cut {
-                let until_ms = start.lease_until_server_ms;
-                server.lease_until_ms = server.lease_until_ms.max(until_ms);
-                server.fence = server.fence.max(self.epoch);
-            }
-            return self.start(on, &start.name, &start.checkpoint);
-        }
-        self.late.push(LateOrder {
-            at_ms: self.now_ms + self.random.random_range(2_000..12_000),
-            on: on.to_owned(),
-            epoch: self.epoch,
-            until_ms: start.lease_until_server_ms,
-            name: start.name.clone(),
-            checkpoint: start.checkpoint.clone(),
-        });
-        StartOutcome::Unknown {
-            reason: "no answer".to_owned(),
-        }
-    }
-
-    /// Carries out the orders whose time has come, unless a newer scheduler has been seen.
-    fn start_late(&mut self) {
-        let now_ms = self.now_ms;
-        let late = std::mem::take(&mut self.late);
-        let (due, later): (Vec<_>, Vec<_>) =
-            late.into_iter().partition(|order| order.at_ms <= now_ms);
-        self.late = later;
-        for order in due {
-            let server = &self.servers[&order.on];
-            if order.epoch >= server.fence && order.until_ms > now_ms {
-                let server = self.servers.get_mut(&order.on).unwrap();
-                server.lease_until_ms = server.lease_until_ms.max(order.until_ms);
-                self.start(&order.on, &order.name, &order.checkpoint);
-            }
-        }
-    }
-
-    fn start(&mut self, on: &str, name: &RunName, checkpoint: &str) -> StartOutcome {
-        let need = self.need(name);
-        let saved_percent = checkpoint.parse().unwrap_or(0.0);
-        let used = self.servers[on]
-            .running
-            .keys()
-            .fold(job::Resources::default(), |sum, run| {
-                sum.plus(&self.need(run))
-            });
-        let server = self.servers.get_mut(on).unwrap();
-        if server.is_cut {
-            return StartOutcome::Unknown {
-                reason: "cut".to_owned(),
-            };
-        }
-        let ended = server.ended_runs.get(&name.task);
-        if ended.is_some_and(|ended| *ended >= name.run) {
-            return StartOutcome::Refused(StartRefusal::Outdated);
-        }
-        if server.running.contains_key(name) {
-            return start_outcome(server);
-        }
-        if !server.entry.capacity.minus(&used).holds(&need) {
-            return StartOutcome::Refused(StartRefusal::NoRoom);
-        }
-        server.running.insert(
-            name.clone(),
-            Run {
-                percent: saved_percent,
-                saved_percent,
-                restored_ms: self.now_ms + if checkpoint.is_empty() { 0 } else { RESTORE_MS },
-                worked_ms: 0.0,
-                unsaved_ms: 0.0,
-                stop_at_ms: None,
-            },
-        );
-        self.seen.push(Seen {
-            name: name.clone(),
-            server: on.to_owned(),
-            from_ms: self.now_ms,
-            to_ms: None,
-            end: None,
-            life: self.servers[on].life,
-            is_acknowledged: false,
-        });
-        start_outcome(&self.servers[on])
-    }
-
     fn spec(&self, name: &RunName) -> &job::StepSpec {
         &self.accepted[&name.task.job].spec.steps[name.task.index.step as usize]
     }
@@ -686,15 +546,6 @@
     }
 }
 
-fn start_outcome(server: &ModelServer) -> StartOutcome {
-    match server.loses_start_answers {
-        true => StartOutcome::Unknown {
-            reason: "the answer was lost".to_owned(),
-        },
-        false => StartOutcome::Present,
-    }
-}
-
 fn close(seen: &mut [Seen], run: &RunName, on: &str, now_ms: u64, end: Option<EndKind>) {
     let open = seen
         .iter_mut()
--- /dev/null
+++ b/lib/fleet-model/src/orders.rs
@@ -0,0 +1,158 @@
+//! What becomes of the engine's orders: carried out, refused, lost or late.
+
+use std::sync::Arc;
+
+use camphorbeam_jobs::engine::Order;
+use camphorbeam_jobs::orders::{RunName, StartOrder, StartOutcome, StartRefusal, StopOutcome};
+use camphorbeam_model::job;
+use rand::Rng as _;
+
+use crate::{ModelServer, Run, Seen, World, RESTORE_MS};
+
+/// Time that a modelled server takes to end a stopped run.
+const STOP_TAKES_MS: u64 = 400;
+
+/// A start order under way for seconds.
+pub(crate) struct LateOrder {
+    at_ms: u64,
+    on: String,
+    epoch: u64,
+    until_ms: u64,
+    name: RunName,
+    checkpoint: Arc<str>,
+}
+
+impl World {
+    pub(crate) fn deliver(&mut self) {
+        let now = self.now();
+        for order in self.engine.take_orders() {
+            let (Order::Start(on, _) | Order::Stop(on, _)) = &order;
+            if self.engine.address(on).is_none() {
+                // A host has nowhere to send it.
+                continue;
+            }
+            match order {
+                Order::Start(on, start) => {
+                    let outcome = self.start_or_delay(on.as_str(), &start);
+                    self.engine.start_reply(&start.name, &outcome, now);
+                }
+                Order::Stop(on, name) => {
+                    let server = self.servers.get_mut(on.as_str()).unwrap();
+                    let outcome = match server.is_cut {
+                        true => StopOutcome::Unknown {
+                            reason: "cut".to_owned(),
+                        },
+                        false => {
+                            let ruled_out = server.ended_runs.entry(name.task.clone()).or_default();
+                            if !server.running.contains_key(&name) {
+                                *ruled_out = (*ruled_out).max(name.run);
+                            }
+                            if let Some(run) = server.running.get_mut(&name) {
+                                run.stop_at_ms.get_or_insert(now.ms + STOP_TAKES_MS);
+                            }
+                            StopOutcome::Accepted
+                        }
+                    };
+                    self.engine.stop_reply(&name, &outcome, now);
+                }
+            }
+        }
+    }
+
+    fn start_or_delay(&mut self, on: &str, start: &StartOrder) -> StartOutcome {
+        if !self.random.random_bool(self.late_share) {
+            let server = self.servers.get_mut(on).unwrap();
+            if !server.is_cut {
+                let until_ms = start.lease_until_server_ms;
+                server.lease_until_ms = server.lease_until_ms.max(until_ms);
+                server.fence = server.fence.max(self.epoch);
+            }
+            return self.start(on, &start.name, &start.checkpoint);
+        }
+        self.late.push(LateOrder {
+            at_ms: self.now_ms + self.random.random_range(2_000..12_000),
+            on: on.to_owned(),
+            epoch: self.epoch,
+            until_ms: start.lease_until_server_ms,
+            name: start.name.clone(),
+            checkpoint: start.checkpoint.clone(),
+        });
+        StartOutcome::Unknown {
+            reason: "no answer".to_owned(),
+        }
+    }
+
+    /// Carries out the orders whose time has come, unless a newer scheduler has been seen.
+    pub(crate) fn start_late(&mut self) {
+        let now_ms = self.now_ms;
+        let late = std::mem::take(&mut self.late);
+        let (due, later): (Vec<_>, Vec<_>) =
+            late.into_iter().partition(|order| order.at_ms <= now_ms);
+        self.late = later;
+        for order in due {
+            let server = &self.servers[&order.on];
+            if order.epoch >= server.fence && order.until_ms > now_ms {
+                let server = self.servers.get_mut(&order.on).unwrap();
+                server.lease_until_ms = server.lease_until_ms.max(order.until_ms);
+                self.start(&order.on, &order.name, &order.checkpoint);
+            }
+        }
+    }
+
+    pub(crate) fn start(&mut self, on: &str, name: &RunName, checkpoint: &str) -> StartOutcome {
+        let need = self.need(name);
+        let saved_percent = checkpoint.parse().unwrap_or(0.0);
+        let used = self.servers[on]
+            .running
+            .keys()
+            .fold(job::Resources::default(), |sum, run| {
+                sum.plus(&self.need(run))
+            });
+        let server = self.servers.get_mut(on).unwrap();
+        if server.is_cut {
+            return StartOutcome::Unknown {
+                reason: "cut".to_owned(),
+            };
+        }
+        let ended = server.ended_runs.get(&name.task);
+        if ended.is_some_and(|ended| *ended >= name.run) {
+            return StartOutcome::Refused(StartRefusal::Outdated);
+        }
+        if server.running.contains_key(name) {
+            return start_outcome(server);
+        }
+        if !server.entry.capacity.minus(&used).holds(&need) {
+            return StartOutcome::Refused(StartRefusal::NoRoom);
+        }
+        server.running.insert(
+            name.clone(),
+            Run {
+                percent: saved_percent,
+                saved_percent,
+                restored_ms: self.now_ms + if checkpoint.is_empty() { 0 } else { RESTORE_MS },
+                worked_ms: 0.0,
+                unsaved_ms: 0.0,
+                stop_at_ms: None,
+            },
+        );
+        self.seen.push(Seen {
+            name: name.clone(),
+            server: on.to_owned(),
+            from_ms: self.now_ms,
+            to_ms: None,
+            end: None,
+            life: self.servers[on].life,
+            is_acknowledged: false,
+        });
+        start_outcome(&self.servers[on])
+    }
+}
+
+fn start_outcome(server: &ModelServer) -> StartOutcome {
+    match server.loses_start_answers {
+        true => StartOutcome::Unknown {
+            reason: "the answer was lost".to_owned(),
+        },
+        false => StartOutcome::Present,
+    }
+}
--- a/testing/src/lib.rs
+++ b/testing/src/lib.rs
@@ -14,7 +14,4 @@
 pub mod platform_stand_in;
 pub mod process;
 pub mod proxy;
-pub mod site_soak;
-pub mod site_store;
-pub mod site_workers;
 pub mod sweep;
