--- a/cli/src/host.rs
+++ b/cli/src/host.rs
@@ -74,6 +74,14 @@
 pub fn run(matches: &ArgMatches) -> exit::Code {
     let text = |flag: &str| matches.get_one::<String>(flag).map_or("", String::as_str);
     let path = PathBuf::from(text("settings-file"));
+    // First of all: a signal that comes before its handler ends the process.
+    let signals = match Signals::register() {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("camphorbeam host: signals can't be handled: {error:#}");
+            return exit::Code::Usage;
+        }
+    };
     let prepared = logs::parse_level(text("log-level"))
         .and_then(logs::start_nonblocking)
         .and_then(|()| site_settings::read(&path));
@@ -88,7 +96,8 @@
     std::env::set_var("ASYNC_STD_THREAD_COUNT", THREADS);
     std::env::set_var("TOKIO_WORKER_THREADS", THREADS);
     let metrics_port = matches.get_one("metrics-port").copied();
-    match task::block_on(serve(settings, &path, metrics_port.unwrap_or_default())) {
+    let serving = serve(settings, &path, metrics_port.unwrap_or_default(), &signals);
+    match task::block_on(serving) {
         Ok(()) => exit::Code::Success,
         Err(error) => {
             eprintln!("camphorbeam host: {error:#}");
@@ -115,8 +124,12 @@
     }
 }
 
-async fn serve(settings: settings::Settings, path: &Path, metrics_port: u16) -> anyhow::Result<()> {
-    let signals = Signals::register()?;
+async fn serve(
+    settings: settings::Settings,
+    path: &Path,
+    metrics_port: u16,
+    signals: &Signals,
+) -> anyhow::Result<()> {
     let clock = clock::Clock::system();
     let meter = Arc::new(meter::Meter::default());
     let client = Arc::new(client::HttpClient::new(clock.clone(), Arc::clone(&meter)));
--- /dev/null
+++ b/lib/host/tests/test_metrics.rs
@@ -0,0 +1,43 @@
+//! Every metric is on the operators' page, and nothing else.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use camphorbeam_host::metrics;
+use camphorbeam_jobs::note::Note;
+use camphorbeam_model::{id, job};
+
+#[test]
+fn test_metrics_are_all_documented() {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/host-metrics.md");
+    let page = std::fs::read_to_string(page).expect("the page is there");
+    let documented: BTreeSet<&str> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split_once('`'))
+        .map(|(name, _)| name.strip_suffix("_total").unwrap_or(name))
+        .collect();
+
+    // Families without a member are left out of the text.
+    let metrics = metrics::Metrics::default();
+    let took = Duration::from_millis(1);
+    metrics.call("read", "queued", took);
+    metrics.store_call("direct", "ok", took);
+    metrics.order("hold", "renewed");
+    metrics.note(&Note::Ended {
+        job: id::JobId::new("j1").unwrap(),
+        task: "j1.0.0.0".parse::<job::TaskName>().unwrap().index,
+        run: id::Run(1),
+        server: id::BackendServerId::new("s1").unwrap(),
+        how: "done",
+        failures: 0,
+    });
+    let text = metrics.text().unwrap();
+    let served: BTreeSet<&str> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split_once(' '))
+        .map(|(name, _)| name)
+        .collect();
+    assert_eq!(documented, served);
+}
--- a/testing/src/process.rs
+++ b/testing/src/process.rs
@@ -45,6 +45,11 @@
         self.send(Signal::TERM);
     }
 
+    /// Asks the process to read its settings again.
+    pub fn reload(&self) {
+        self.send(Signal::HUP);
+    }
+
     fn send(&self, signal: Signal) {
         // The process may have ended.
         let _ = process::pidfd_send_signal(&self.process, signal);
