--- a/lib/scheduler/src/server.rs
+++ b/lib/scheduler/src/server.rs
@@ -17,6 +17,9 @@
     pub orders: Arc<dyn orders::BackendServer>,
     /// State of the connection to the server.
     pub link: Link,
+    /// When the newest reply to a fence or sync arrived; kept when `link` is reset. Leases that the
+    /// server was granted end at a time counted from here.
+    pub last_reply_at: Option<clock::Monotonic>,
     /// Whether an operator has drained the server.
     pub is_drained: bool,
     /// Whether the server reports that it is leaving.
@@ -75,6 +78,23 @@
 const SUSPECT_AFTER_REQUESTS: usize = 3;
 
 impl Server {
+    /// Records a reply to a fence or sync as the state of the link.
+    pub fn set_up(&mut self, last_reply: LastReply) {
+        self.link = Link::Up(last_reply);
+        self.last_reply_at = Some(last_reply.received_at);
+    }
+
+    /// Returns the time from which the lease time of the server's tasks is counted when the server
+    /// doesn't respond, or `None` while it does. `started_at` is the start of this scheduler, to
+    /// which the leases count that an earlier scheduler has granted.
+    pub fn lease_time_begins_at(&self, started_at: clock::Monotonic) -> Option<clock::Monotonic> {
+        match &self.link {
+            Link::Up(_) => None,
+            Link::Down(last_reply) => Some(last_reply.received_at),
+            Link::Unfenced => Some(self.last_reply_at.unwrap_or(started_at).max(started_at)),
+        }
+    }
+
     /// Returns whether the server may get new work.
     pub fn health(&self) -> policy::Health {
         let is_closed = self.is_drained
--- a/lib/scheduler/src/server_set.rs
+++ b/lib/scheduler/src/server_set.rs
@@ -90,6 +90,7 @@
             orders: self.deps.connector.connect(info.address),
             info,
             link: server::Link::Unfenced,
+            last_reply_at: None,
             is_drained,
             is_leaving: false,
             has_refused_as_leaving: false,
--- a/lib/scheduler/src/server_sync.rs
+++ b/lib/scheduler/src/server_sync.rs
@@ -76,7 +76,7 @@
         false => Vec::new(),
     };
     zone.update_server(server, |entry| {
-        entry.link = Link::Up(last_reply);
+        entry.set_up(last_reply);
         entry.is_leaving = inventory.is_leaving;
         entry.has_refused_as_leaving = false;
         entry.silent_since = None;
@@ -140,8 +140,10 @@
     };
     zone.update_server(server, |entry| {
         // The link may have been reset while this sync waited, to have the server fenced again.
-        if entry.link == Link::Up(last_reply) {
-            entry.link = Link::Up(next);
+        match entry.link == Link::Up(last_reply) {
+            true => entry.set_up(next),
+            // The reply renewed the leases all the same.
+            false => entry.last_reply_at = Some(next.received_at),
         }
         entry.is_leaving = reply.is_leaving;
         entry.silent_since = None;
@@ -333,18 +335,11 @@
     }
 
     /// Returns whether every task lease on a server counts as expired.
-    ///
-    /// For a server that has to be fenced, the time is counted from the start of this scheduler.
-    /// That is right if this scheduler has never fenced the server. But the last reply is forgotten
-    /// when the rows have been loaded ([`ZoneScheduler::set_loaded`]) or the server's address
-    /// changes; leases that a sync renewed shortly before may then count as expired too early.
     pub(crate) fn all_leases_expired(&self, entry: &server::Server) -> bool {
-        let received_at = match &entry.link {
-            Link::Up(_) => return false,
-            Link::Down(last_reply) => last_reply.received_at,
-            Link::Unfenced => self.started_at,
-        };
-        self.now().since(received_at) >= self.deps.settings.lease_expired_after()
+        let lease_time_begins_at = entry.lease_time_begins_at(self.started_at);
+        lease_time_begins_at.is_some_and(|begins_at| {
+            self.now().since(begins_at) >= self.deps.settings.lease_expired_after()
+        })
     }
 
     /// Returns the tasks on `server` whose leases are not renewed, because their jobs are ending
