host: remove the progress of an expired job only after its inbox row

Removals of inbox rows are now confirmed before the progress rows follow, what fails is tried again a second later, and removed jobs count as known for a minute, since a read of the inbox may be on its way. test_scheduler failed before: the progress row was gone, the inbox row still there.

--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -70,6 +70,9 @@
 /// keys and conditions, which don't count towards this maximum.
 const COMMIT_MAX_BYTES: usize = 600_000;
 
+/// Time between two removals of the rows of expired jobs.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why an order was not sent: an earlier order in the same batch got no reply.
 const UNANSWERED_REASON: &str = "an earlier order to the server got no reply";
 
@@ -528,11 +531,15 @@
     /// Stores progress, one transaction at a time, so that an older state never replaces a newer
     /// one.
     async fn store_progress(self: Arc<Self>) {
+        let mut expiry_checked_at = self.deps.clock.now();
         while !self.is_stopped() {
             let changes = self.lock().unstored_progress(JOBS_PER_COMMIT_MAX);
             match changes.is_empty() {
                 true => {
-                    self.remove_expired().await;
+                    if self.deps.clock.now().since(expiry_checked_at) >= EXPIRY_CHECK_INTERVAL {
+                        self.remove_expired().await;
+                        expiry_checked_at = self.deps.clock.now();
+                    }
                     self.commit_wakeup
                         .wait(&self.deps.clock, IDLE_INTERVAL)
                         .await;
@@ -622,42 +629,55 @@
         Vec::new()
     }
 
-    /// Removes the rows of jobs whose retention time is over.
+    /// Removes the rows of jobs whose retention time is over. The progress row of a job is removed
+    /// only once its inbox row is known to be gone: an inbox row without a progress row would run
+    /// again as a new job. What can't be removed now is tried again.
     async fn remove_expired(&self) {
-        let now = self.now();
         // Each job takes two removals in a transaction on an inbox partition.
-        let expired = self.lock().take_expired_jobs(JOBS_PER_COMMIT_MAX / 2, now);
-        if expired.is_empty() {
-            return;
-        }
-        // Inbox rows are removed first: a job whose inbox row is left without a progress row would
-        // run again as a new job. The progress rows are removed even if that fails, though.
+        let now = self.now();
+        let expired = self.lock().expired_jobs(JOBS_PER_COMMIT_MAX / 2, now);
+        let mut removed = Vec::new();
         for part in rows::INBOX_PARTS {
-            let part_ids = expired.iter().filter(|id| rows::inbox_part(id) == part);
-            let removals = part_ids.flat_map(|id| [rows::job_key(id), rows::cancel_key(id)]);
-            self.remove_rows(removals.collect(), Vec::new()).await;
+            let of_part = expired.iter().filter(|id| rows::inbox_part(id) == part);
+            let of_part: Vec<id::JobId> = of_part.cloned().collect();
+            let removals = of_part
+                .iter()
+                .flat_map(|id| [rows::job_key(id), rows::cancel_key(id)]);
+            if self.remove_rows(removals.collect(), Vec::new()).await {
+                removed.extend(of_part);
+            }
         }
-        let removals = expired.iter().map(rows::progress_key);
+        let now = self.now();
+        self.lock().confirm_removal(&removed, now);
+        let removals = removed.iter().map(rows::progress_key);
         self.remove_rows(removals.collect(), vec![self.epoch_condition.clone()])
             .await;
     }
 
-    async fn remove_rows(&self, removals: Vec<store::RowKey>, conditions: Vec<store::Condition>) {
+    /// Removes rows and returns whether they are known to be gone.
+    async fn remove_rows(
+        &self,
+        removals: Vec<store::RowKey>,
+        conditions: Vec<store::Condition>,
+    ) -> bool {
         if removals.is_empty() {
-            return;
+            return true;
         }
         let transaction = store::Transaction {
             conditions,
             writes: Vec::new(),
             removals,
         };
-        if let Err(error) = self.deps.store.commit(&transaction).await {
-            // Not retried in this epoch. A later read of the whole inbox takes an inbox row without
-            // a progress row as a new job; a progress row without an inbox row stays for good.
-            let reason = error.to_string();
-            spdlog::warn!("failed to remove the rows of expired jobs", kv: {
-                reason = reason.as_str()
-            });
+        match self.deps.store.commit(&transaction).await {
+            Ok(store::Commit::Applied { .. }) => true,
+            Ok(store::Commit::Conflict { .. }) => false,
+            Err(error) => {
+                let reason = error.to_string();
+                spdlog::warn!("failed to remove the rows of expired jobs", kv: {
+                    rows = transaction.removals.len(), reason = reason.as_str()
+                });
+                false
+            }
         }
     }
 }
--- /dev/null
+++ b/lib/host/tests/test_scheduler.rs
@@ -0,0 +1,232 @@
+//! The scheduler's use of the store: which rows of ended jobs it removes, and when.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_std::task::{self, block_on};
+use async_trait::async_trait;
+use camphorbeam_clock as clock;
+use camphorbeam_host::leadership::{Candidate, LeaseCheck, LeaseHolder, Standby};
+use camphorbeam_host::scheduler::{Dependencies, Scheduler};
+use camphorbeam_host::{metrics, peers, platform_schema, relay, rows, terms_watcher};
+use camphorbeam_jobs::orders;
+use camphorbeam_jobs::progress::{JobState, Progress};
+use camphorbeam_jobs::settings::Settings;
+use camphorbeam_model::{fleet, id, job, terms};
+use camphorbeam_platform::memory_store::MemoryStore;
+use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::table::PlatformError;
+
+/// Time that the manual clock advances at once.
+const TICK: Duration = Duration::from_millis(100);
+
+struct EmptySchema;
+
+impl platform_schema::PlatformSchema for EmptySchema {
+    fn terms_key(&self) -> store::RowKey {
+        store::RowKey::new("terms", "", "newest")
+    }
+
+    fn decode_terms(&self, _text: &str) -> anyhow::Result<terms::Terms> {
+        Ok(terms::Terms::default())
+    }
+
+    fn server_registry_table(&self) -> &'static str {
+        "registry"
+    }
+
+    fn decode_server(&self, _row: &store::Row) -> anyhow::Result<fleet::ServerEntry> {
+        anyhow::bail!("this platform has no servers")
+    }
+}
+
+struct NoServers;
+
+#[async_trait]
+impl orders::BackendServers for NoServers {
+    async fn start(&self, _: &orders::Target, _: &orders::StartOrder) -> orders::StartOutcome {
+        orders::StartOutcome::Refused(orders::StartRefusal::OtherServer)
+    }
+
+    async fn stop(&self, _: &orders::Target, _: &orders::RunName) -> orders::StopOutcome {
+        orders::StopOutcome::OtherServer
+    }
+
+    async fn hold(&self, _: &orders::Target, _: &orders::HoldOrder) -> orders::HoldOutcome {
+        orders::HoldOutcome::OtherServer
+    }
+}
+
+/// A store that refuses writes to the inbox while `refuses_inbox_writes` is set.
+#[derive(Clone, Default)]
+struct PartlyBusyStore {
+    inner: MemoryStore,
+    refuses_inbox_writes: Arc<AtomicBool>,
+}
+
+#[async_trait]
+impl Store for PartlyBusyStore {
+    async fn rows(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<store::Rows, PlatformError> {
+        self.inner.rows(table, part, from, to).await
+    }
+
+    async fn commit(
+        &self,
+        transaction: &store::Transaction,
+    ) -> Result<store::Commit, PlatformError> {
+        let mut removals = transaction.removals.iter();
+        let is_of_inbox = removals.any(|key| key.table == rows::INBOX_TABLE);
+        match is_of_inbox && self.refuses_inbox_writes.load(Ordering::SeqCst) {
+            true => Err(PlatformError::NotApplied {
+                reason: "busy".to_owned(),
+            }),
+            false => self.inner.commit(transaction).await,
+        }
+    }
+
+    async fn changes(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+    ) -> Result<store::Changes, PlatformError> {
+        task::sleep(Duration::from_millis(1)).await;
+        self.inner.changes(table, version, wait).await
+    }
+}
+
+struct Fixture {
+    store: PartlyBusyStore,
+    clock: clock::Clock,
+    time: clock::ManualTime,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let (clock, time) = clock::Clock::manual(1_000_000);
+        Self {
+            store: PartlyBusyStore::default(),
+            clock,
+            time,
+        }
+    }
+
+    fn holder(&self) -> LeaseHolder {
+        let candidate = Candidate {
+            host: id::HostId::new("h1").unwrap(),
+            process: "p1".into(),
+            processor_cores: 1.0,
+        };
+        let mut standby = Standby::new(candidate, self.clock.clone());
+        loop {
+            match block_on(standby.check_lease(&self.store)).unwrap() {
+                LeaseCheck::Holder(holder) => return holder,
+                LeaseCheck::Standby(next) => standby = next,
+            }
+            self.time.advance(TICK);
+        }
+    }
+
+    fn start_scheduler(&self) -> Arc<Scheduler> {
+        let own_address: SocketAddr = ([127, 0, 0, 1], 1).into();
+        let metrics = Arc::new(metrics::Metrics::default());
+        let relayed_store = relay::RelayedStore::new(
+            Arc::new(self.store.clone()),
+            Arc::new(peers::Peers::new(own_address, &[])),
+            self.clock.clone(),
+            Arc::clone(&metrics),
+        );
+        let deps = Dependencies {
+            store: Arc::new(relayed_store),
+            servers: Arc::new(NoServers),
+            schema: Arc::new(EmptySchema),
+            current_terms: Arc::new(terms_watcher::CurrentTerms::default()),
+            clock: self.clock.clone(),
+            settings: Settings::default(),
+            metrics,
+        };
+        block_on(Scheduler::start(deps, &self.holder())).unwrap()
+    }
+
+    fn advance(&self, duration: Duration) {
+        for _ in 0..duration.as_millis() / TICK.as_millis() {
+            self.time.advance(TICK);
+            // Lets the background tasks run, whose sleeps have just ended.
+            block_on(task::sleep(Duration::from_millis(4)));
+        }
+    }
+
+    /// Stores a job that ended long ago.
+    fn put_ended_job(&self, id: &id::JobId) {
+        let accepted = job::AcceptedJob {
+            account: id::ClientAccountName::new("acme").unwrap(),
+            queue: id::QueueName::new("q").unwrap(),
+            terms: job::QueueJobSettings {
+                service: id::ServiceName::new("s").unwrap(),
+                priority: 0,
+                attempts_max: 2,
+                objective_ratio: 1.5,
+                objective_extra_ms: 250,
+            },
+            accepted_unix_ms: 0,
+            spec: job::JobSpec {
+                payload: "p".into(),
+                steps: vec![job::StepSpec {
+                    task_count: 1,
+                    ..job::StepSpec::default()
+                }],
+                schedule: None,
+            },
+        };
+        let progress = Progress {
+            state: JobState::Completed,
+            ended_unix_ms: 1,
+            ..Progress::default()
+        };
+        let store = &self.store.inner;
+        store.put(
+            &rows::job_key(id),
+            &serde_json::to_string(&accepted).unwrap(),
+        );
+        store.put(
+            &rows::progress_key(id),
+            &serde_json::to_string(&progress).unwrap(),
+        );
+    }
+
+    fn has_rows(&self, id: &id::JobId) -> (bool, bool) {
+        let exists = |key: &store::RowKey| self.store.inner.value(key).is_some();
+        (exists(&rows::job_key(id)), exists(&rows::progress_key(id)))
+    }
+}
+
+/// Without its progress row, the inbox row of an ended job would be taken for a new job.
+#[test]
+fn test_scheduler_keeps_the_progress_of_an_ended_job_until_its_inbox_row_is_removed() {
+    let fixture = Fixture::new();
+    let id = id::JobId::new("00000000000000a1").unwrap();
+    fixture.put_ended_job(&id);
+    fixture
+        .store
+        .refuses_inbox_writes
+        .store(true, Ordering::SeqCst);
+    let scheduler = fixture.start_scheduler();
+    fixture.advance(Duration::from_secs(3));
+    assert_eq!(fixture.has_rows(&id), (true, true));
+
+    fixture
+        .store
+        .refuses_inbox_writes
+        .store(false, Ordering::SeqCst);
+    fixture.advance(Duration::from_secs(3));
+    assert_eq!(fixture.has_rows(&id), (false, false));
+    scheduler.stop();
+}
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -16,6 +16,9 @@
 /// was noticed.
 pub(crate) const ORDER_RETRY_MS: u64 = 500;
 
+/// How long a removed job counts as known. Longer than any read of the inbox takes.
+const REMOVED_JOB_MEMORY_MS: u64 = 60_000;
+
 /// How long a backend server may delay its reply to a hold while no run ends. Each hold renews the
 /// lease, so this is also the longest time between two renewals while the server replies.
 const HOLD_WAIT_MS: u64 = 1_000;
@@ -59,6 +62,8 @@
     pub(crate) jobs: BTreeMap<id::JobId, open_job::OpenJob>,
     /// Jobs whose end is stored, and when they ended by the wall clock.
     pub(crate) ended_jobs: BTreeMap<id::JobId, u64>,
+    /// Ended jobs whose inbox rows are deleted, and when that became known.
+    pub(crate) removed_jobs: BTreeMap<id::JobId, u64>,
     /// Cancelled jobs that have not been submitted yet, and when they were cancelled by the wall
     /// clock.
     pub(crate) cancelled_before_submit: BTreeMap<id::JobId, u64>,
@@ -162,7 +167,11 @@
 
     /// Whether the engine knows `job`, open or ended.
     pub fn has_job(&self, job: &id::JobId) -> bool {
-        self.jobs.contains_key(job) || self.ended_jobs.contains_key(job)
+        self.jobs.contains_key(job) || self.has_ended(job)
+    }
+
+    fn has_ended(&self, job: &id::JobId) -> bool {
+        self.ended_jobs.contains_key(job) || self.removed_jobs.contains_key(job)
     }
 
     /// Adds an accepted job, with its stored progress and the version of that row, if there is one.
@@ -204,7 +213,7 @@
                 self.end_job(id, JobState::Cancelled, now);
             }
             Some(_) => {}
-            None if self.ended_jobs.contains_key(id) => {}
+            None if self.has_ended(id) => {}
             None => {
                 self.cancelled_before_submit.insert(id.clone(), now.unix_ms);
             }
@@ -479,24 +488,31 @@
         }
     }
 
-    /// Removes and returns at most `count_max` ended jobs whose retention time is over, so that the
-    /// caller can delete their rows. Also drops cancellations of jobs that were not submitted
-    /// within `retention_ms`.
-    pub fn take_expired_jobs(&mut self, count_max: usize, now: Now) -> Vec<id::JobId> {
+    /// At most `count_max` ended jobs whose retention time is over, so that the caller can delete
+    /// their rows and confirm that with [`Engine::confirm_removal`]. Also drops cancellations of
+    /// jobs that were not submitted within `retention_ms`, and the memory of removed jobs.
+    pub fn expired_jobs(&mut self, count_max: usize, now: Now) -> Vec<id::JobId> {
         let retention_ms = self.settings.retention_ms;
-        let expired: Vec<_> = self
-            .ended_jobs
+        self.cancelled_before_submit
+            .retain(|_, at_unix_ms| *at_unix_ms + retention_ms >= now.unix_ms);
+        self.removed_jobs
+            .retain(|_, removed_ms| now.ms < *removed_ms + REMOVED_JOB_MEMORY_MS);
+        let has_expired = |ended_unix_ms: u64| ended_unix_ms + retention_ms < now.unix_ms;
+        self.ended_jobs
             .iter()
-            .filter(|(_, ended_unix_ms)| **ended_unix_ms + retention_ms < now.unix_ms)
+            .filter(|(_, ended_unix_ms)| has_expired(**ended_unix_ms))
             .map(|(id, _)| id.clone())
             .take(count_max)
-            .collect();
-        for id in &expired {
+            .collect()
+    }
+
+    /// Forgets ended jobs whose inbox rows are known to be deleted. A read of the inbox that was on
+    /// its way at the time may still show them, so they count as known for some time.
+    pub fn confirm_removal(&mut self, ids: &[id::JobId], now: Now) {
+        for id in ids {
             self.ended_jobs.remove(id);
+            self.removed_jobs.insert(id.clone(), now.ms);
         }
-        self.cancelled_before_submit
-            .retain(|_, at_unix_ms| *at_unix_ms + retention_ms >= now.unix_ms);
-        expired
     }
 
     /// Removes and returns the queued orders, for the caller to send.
