host: show and cancel a job only for its own account

Progress now names the account; rows of earlier versions fall back to the inbox row. A job whose owner can't be read is neither shown nor cancelled; the caller is told that the outcome is unknown.

--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -38,6 +38,9 @@
 /// store are counted instead.
 const WAITING_MAX_AGE_MS: u64 = 2_500;
 
+/// Reason given to callers when the row of their job can't be parsed.
+const UNREADABLE_JOB: &str = "the stored job can't be read";
+
 /// Client account of calls to public queues without a known API key.
 const PUBLIC_ACCOUNT: &str = "public";
 
@@ -233,29 +236,52 @@
         budget: &TimeBudget,
     ) -> Reply {
         match self.read_row(&rows::progress_key(id), budget).await {
-            // A progress row names no account, so the owner of a job is checked only as long as no
-            // progress is stored; after that, any account that may call the queue gets the state.
             Ok(Some(row)) => match parse_row::<progress::Progress>(&row) {
-                Some(progress) => Reply::State(progress.state),
-                None => Reply::OutcomeUnknown("the job's progress can't be read".to_owned()),
-            },
-            Ok(None) => match self.read_row(&rows::job_key(id), budget).await {
-                Ok(Some(row)) => match parse_row::<job::AcceptedJob>(&row) {
-                    Some(job) if job.account == authorized.account => {
-                        Reply::State(progress::JobState::Queued)
-                    }
-                    _ => Reply::NoSuchJob,
+                Some(progress::Progress {
+                    account: Some(owner),
+                    state,
+                    ..
+                }) => match owner == authorized.account {
+                    true => Reply::State(state),
+                    false => Reply::NoSuchJob,
                 },
-                Ok(None) => Reply::NoSuchJob,
-                Err(error) => store_unavailable(&error),
+                // Rows of earlier versions name no account.
+                Some(progress) => {
+                    self.state_for_owner(authorized, id, progress.state, budget)
+                        .await
+                }
+                None => Reply::OutcomeUnknown("the job's progress can't be read".to_owned()),
             },
+            Ok(None) => {
+                self.state_for_owner(authorized, id, progress::JobState::Queued, budget)
+                    .await
+            }
             Err(error) => store_unavailable(&error),
         }
     }
 
+    /// Replies with `state` if the stored job belongs to the caller's account.
+    async fn state_for_owner(
+        &self,
+        authorized: &AuthorizedCall<'_>,
+        id: &id::JobId,
+        state: progress::JobState,
+        budget: &TimeBudget,
+    ) -> Reply {
+        let row = match self.read_row(&rows::job_key(id), budget).await {
+            Ok(row) => row,
+            Err(error) => return store_unavailable(&error),
+        };
+        match row.as_ref().map(parse_row::<job::AcceptedJob>) {
+            Some(Some(job)) if job.account == authorized.account => Reply::State(state),
+            Some(Some(_)) | None => Reply::NoSuchJob,
+            Some(None) => Reply::OutcomeUnknown(UNREADABLE_JOB.to_owned()),
+        }
+    }
+
     /// Stores the cancellation of a job, also if the job is not stored: a submission that got no
-    /// reply may still be applied later. A job whose row can't be parsed counts as not stored, so
-    /// its owner is not checked.
+    /// reply may still be applied later. Nothing is stored if the job's row can't be parsed, since
+    /// its owner is unknown.
     ///
     /// Once the cancellation is stored, the reply is `Cancelled`, even if the job has already
     /// ended, or [`Reply::NoSuchJob`] if the job is not stored.
@@ -265,13 +291,14 @@
         id: &id::JobId,
         budget: &TimeBudget,
     ) -> Reply {
-        let stored_job = match self.read_row(&rows::job_key(id), budget).await {
-            Ok(row) => row.and_then(|row| parse_row::<job::AcceptedJob>(&row)),
+        let row = match self.read_row(&rows::job_key(id), budget).await {
+            Ok(row) => row,
             Err(error) => return store_unavailable(&error),
         };
-        let is_stored = match stored_job {
-            Some(job) if job.account != authorized.account => return Reply::NoSuchJob,
-            Some(_) => true,
+        let is_stored = match row.as_ref().map(parse_row::<job::AcceptedJob>) {
+            Some(Some(job)) if job.account != authorized.account => return Reply::NoSuchJob,
+            Some(Some(_)) => true,
+            Some(None) => return Reply::OutcomeUnknown(UNREADABLE_JOB.to_owned()),
             None => false,
         };
         let transaction = store::Transaction {
@@ -381,7 +408,7 @@
     match rows.first().and_then(parse_row::<job::AcceptedJob>) {
         Some(job) if job.account == authorized.account => Reply::State(progress::JobState::Queued),
         Some(_) => Reply::IdConflict,
-        None => Reply::OutcomeUnknown("the stored job can't be read".to_owned()),
+        None => Reply::OutcomeUnknown(UNREADABLE_JOB.to_owned()),
     }
 }
 
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -7,7 +7,7 @@
 use camphorbeam_clock as clock;
 use camphorbeam_host::call::{Call, Operation, Reply};
 use camphorbeam_host::{gateway, metrics, peers, platform_schema, relay, rows, terms_watcher};
-use camphorbeam_jobs::progress::JobState;
+use camphorbeam_jobs::progress::{JobState, Progress};
 use camphorbeam_model::{fleet, id, job, terms};
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
 use camphorbeam_platform::store;
@@ -235,6 +235,53 @@
     );
 }
 
+/// Stores progress of a job as a scheduler does: the row names no account if the scheduler is of an
+/// earlier version.
+fn store_progress(fixture: &Fixture, id: &str, names_account: bool) {
+    let accepted = fixture
+        .store
+        .value(&rows::job_key(&id::JobId::new(id).unwrap()))
+        .unwrap();
+    let accepted: job::AcceptedJob = serde_json::from_str(&accepted).unwrap();
+    let progress = Progress {
+        state: JobState::Running,
+        account: names_account.then_some(accepted.account),
+        ..Progress::default()
+    };
+    let key = rows::progress_key(&id::JobId::new(id).unwrap());
+    let text = serde_json::to_string(&progress).unwrap();
+    fixture.store.put(&key, &text);
+}
+
+#[test]
+fn test_gateway_hides_a_job_with_progress_from_other_accounts() {
+    for names_account in [true, false] {
+        let fixture = Fixture::new();
+        fixture.submit("k1", "j1");
+        store_progress(&fixture, "j1", names_account);
+        assert_eq!(
+            fixture.call("k1", "/q/j1", Operation::Read),
+            Reply::State(JobState::Running)
+        );
+        assert_eq!(
+            fixture.call("k2", "/q/j1", Operation::Read),
+            Reply::NoSuchJob
+        );
+    }
+}
+
+#[test]
+fn test_gateway_cancels_no_job_whose_owner_it_can_not_read() {
+    let fixture = Fixture::new();
+    let id = id::JobId::new("j1").unwrap();
+    fixture.store.put(&rows::job_key(&id), "{\"truncated");
+    for key in ["k1", "k2"] {
+        let reply = fixture.call(key, "/q/j1", Operation::Cancel);
+        assert!(matches!(reply, Reply::OutcomeUnknown(_)), "{reply:?}");
+    }
+    assert_eq!(fixture.store.value(&rows::cancel_key(&id)), None);
+}
+
 #[test]
 fn test_gateway_counts_waiting_jobs_in_the_store_without_a_scheduler() {
     let fixture = Fixture::new();
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -65,10 +65,11 @@
     pub fn new(
         id: id::JobId,
         accepted: job::AcceptedJob,
-        progress: progress::Progress,
+        mut progress: progress::Progress,
         row_version: u64,
         accepted_ms: u64,
     ) -> Self {
+        progress.account = Some(accepted.account.clone());
         let has_begun_work = progress.has_begun;
         Self {
             id,
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -64,11 +64,13 @@
     pub state: TaskState,
     /// The backend server that the newest run was placed on.
     pub server: Option<id::BackendServerId>,
-    /// Number of failures counted against the task. One run of a gang adds several if several
+    /// Number of failures counted against the task. A run of a gang counts once, however many
     /// members report a failure of it.
     pub failures: u32,
     /// Checkpoint that the next run resumes from; empty to start from the beginning.
     pub checkpoint: Arc<str>,
+    /// The newest run that `failures` counts; zero if it counts none.
+    pub failed_run: id::Run,
 }
 
 /// The stored progress of one job; the accepted job is stored separately.
@@ -80,6 +82,9 @@
     /// Whether a task was ever placed.
     #[serde(rename = "b")]
     pub has_begun: bool,
+    /// Client account that owns the job; `None` in rows of earlier versions.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub account: Option<id::ClientAccountName>,
     /// When the job ended, by the wall clock of the host that stored it; zero before.
     #[serde(rename = "e")]
     pub ended_unix_ms: u64,
@@ -127,8 +132,8 @@
     }
 }
 
-/// A task and its progress record, serialized as an array of eight elements: rows are rewritten
-/// with each start and end, so they have to be small.
+/// A task and its progress record, serialized as an array: rows are rewritten with each start and
+/// end, so they have to be small. The ninth element, `failed_run`, is left out if it is zero.
 struct TaskEntry(job::TaskIndex, TaskRecord);
 
 impl serde::Serialize for TaskEntry {
@@ -139,7 +144,8 @@
             TaskState::Started => "s",
             TaskState::Done => "d",
         };
-        let mut tuple = serializer.serialize_tuple(TASK_ENTRY_LENGTH)?;
+        let has_failed = record.failed_run != id::Run::default();
+        let mut tuple = serializer.serialize_tuple(TASK_ENTRY_LENGTH + usize::from(has_failed))?;
         tuple.serialize_element(&index.occurrence)?;
         tuple.serialize_element(&index.step)?;
         tuple.serialize_element(&index.rank)?;
@@ -148,11 +154,14 @@
         tuple.serialize_element(&record.server)?;
         tuple.serialize_element(&record.failures)?;
         tuple.serialize_element(&record.checkpoint)?;
+        if has_failed {
+            tuple.serialize_element(&record.failed_run)?;
+        }
         tuple.end()
     }
 }
 
-/// Length of the array that a task is serialized as.
+/// Length of the array that a task without a counted failure is serialized as.
 const TASK_ENTRY_LENGTH: usize = 8;
 
 struct TaskEntryVisitor;
@@ -162,14 +171,14 @@
     position: usize,
 ) -> Result<T, A::Error> {
     seq.next_element()?
-        .ok_or_else(|| de::Error::invalid_length(position, &"an array of eight elements"))
+        .ok_or_else(|| de::Error::invalid_length(position, &"an array of eight or nine elements"))
 }
 
 impl<'de> Visitor<'de> for TaskEntryVisitor {
     type Value = TaskEntry;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a task as an array of eight elements")
+        f.write_str("a task as an array of eight or nine elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<TaskEntry, A::Error> {
@@ -192,6 +201,7 @@
             server: required_element(&mut seq, 5)?,
             failures: required_element(&mut seq, 6)?,
             checkpoint: required_element(&mut seq, 7)?,
+            failed_run: seq.next_element()?.unwrap_or_default(),
         };
         Ok(TaskEntry(index, record))
     }
@@ -199,7 +209,7 @@
 
 impl<'de> serde::Deserialize<'de> for TaskEntry {
     fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        deserializer.deserialize_tuple(TASK_ENTRY_LENGTH, TaskEntryVisitor)
+        deserializer.deserialize_seq(TaskEntryVisitor)
     }
 }
 
--- a/lib/jobs/tests/test_progress.rs
+++ b/lib/jobs/tests/test_progress.rs
@@ -21,6 +21,7 @@
         server: Some(id::BackendServerId::new("i-7f3a91c2e1").unwrap()),
         failures: 2,
         checkpoint: "00000bb87a21d94b".into(),
+        failed_run: id::Run(11),
     }
 }
 
@@ -37,6 +38,16 @@
     assert_eq!(serde_json::from_str::<Progress>(&text).unwrap(), progress);
 }
 
+#[test]
+fn test_progress_without_an_account_and_counted_runs_is_read() {
+    let text = r#"{"s":"running","b":true,"e":0,"t":[[0,1,3,12,"s","i-7f3a91c2e1",2,"ab"]]}"#;
+    let progress: Progress = serde_json::from_str(text).unwrap();
+    assert_eq!(progress.account, None);
+    let record = progress.task(index(0, 1, 3));
+    assert_eq!((record.failures, record.failed_run), (2, id::Run(0)));
+    assert_eq!(serde_json::to_string(&progress).unwrap(), text);
+}
+
 #[test]
 fn test_progress_of_a_finished_step_drops_its_task_records() {
     let mut progress = Progress::default();
