jobs: count a failed run of a gang once, and avoid its servers for a limited time

Each member that reported a failure of the same run added one to the attempts of every member: a gang of 26 that met two faulty servers used up both of its attempts at once and was shown as failed. The same reports also counted as failures on distinct servers and so cleared the servers as if the job were faulty. A run now counts once, also after a takeover (the counted run is stored), and a single run of a gang no longer clears its servers.

Found by the new test: a job avoided every server on which it had failed until it ended, so one that had failed on all servers with room waited for ever. Servers are now avoided for 6 s.

The simulation lets each member of a gang on a faulty server report its own failure.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -56,6 +56,7 @@
             .unwrap_or_default();
         let now_ms = self.now_ms;
         let mut kind = None;
+        let mut own_ends = Vec::new();
         let mut is_all_done = true;
         for (server_name, run) in members {
             let work_ms = behavior.work_ms.get(&run.task.index).copied();
@@ -91,7 +92,9 @@
                 () => None,
             };
             is_all_done &= ended == Some(EndKind::Done);
-            kind = kind.or(ended.filter(|ended| *ended != EndKind::Done));
+            let own_end = ended.filter(|ended| *ended != EndKind::Done);
+            own_ends.push(own_end);
+            kind = kind.or(own_end);
             if let (Some(ended), false) = (ended, spec.is_gang) {
                 self.end_run(server_name, run, ended);
             }
@@ -99,10 +102,10 @@
         // The members of a gang finish when the slowest of them does.
         let kind = kind.or((is_all_done && is_complete).then_some(EndKind::Done));
         if let (Some(kind), true) = (kind, spec.is_gang) {
-            for (number, (server_name, run)) in members.iter().enumerate() {
-                let of_member = match (kind, number) {
-                    (EndKind::Done, _) | (_, 0) => kind,
-                    _ => EndKind::Broken,
+            for ((server_name, run), own_end) in members.iter().zip(own_ends) {
+                let of_member = match kind {
+                    EndKind::Done => kind,
+                    _ => own_end.unwrap_or(EndKind::Broken),
                 };
                 self.end_run(server_name, run, of_member);
             }
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -329,7 +329,7 @@
     ) -> Demand<'a> {
         let job = &self.jobs[id];
         let step = job.step(unit.first);
-        let excluded = self.health.failed_servers(id);
+        let excluded = self.health.avoided_servers(id, now.ms);
         let excluded = match excluded.len() > EXCLUDED_SERVERS_MAX {
             true => BTreeSet::new(),
             false => excluded,
--- a/lib/jobs/src/health.rs
+++ b/lib/jobs/src/health.rs
@@ -9,7 +9,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use camphorbeam_model::id;
+use camphorbeam_model::{id, job};
 
 /// Number of distinct jobs that must fail on a server before it is quarantined, and of distinct
 /// servers on which a job must fail before its failures no longer count against servers.
@@ -21,6 +21,10 @@
 /// Upper bound on the duration of a quarantine.
 const QUARANTINE_MAX_MS: u64 = 24_000;
 
+/// How long a job avoids a server on which it has failed. A wide gang may fail on so many servers
+/// at once that the others have no room for it.
+const AVOIDANCE_DURATION_MS: u64 = 6_000;
+
 /// The failures that count against one server, and its quarantine.
 #[derive(Clone, Debug, Default)]
 struct FailureRecord {
@@ -33,19 +37,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct Health {
     servers: BTreeMap<id::BackendServerId, FailureRecord>,
-    /// Servers on which each job has failed.
-    failed_servers: BTreeMap<id::JobId, BTreeSet<id::BackendServerId>>,
+    /// Servers on which each job has failed, and when it last did.
+    failed_servers: BTreeMap<id::JobId, BTreeMap<id::BackendServerId, u64>>,
+    /// Failed runs of each job, by the first task of their unit.
+    failed_runs: BTreeMap<id::JobId, BTreeSet<(job::TaskIndex, id::Run)>>,
 }
 
 impl Health {
-    /// Counts a failed run of `job` against `server`. If the job has failed on
-    /// `DISTINCT_FAILURES_MIN` servers, the job counts as faulty, and its failures are cleared from
-    /// all of them.
-    pub fn record_failure(&mut self, job: &id::JobId, server: &id::BackendServerId, now_ms: u64) {
+    /// Counts a failed run of `job` against `server`; `run` is the first task of the run's unit and
+    /// the number of the run. If `DISTINCT_FAILURES_MIN` runs of the job have failed on as many
+    /// servers, the job counts as faulty, and its failures are cleared from all of them. A single
+    /// run of a gang that fails on several servers isn't enough: a wide gang may meet several
+    /// faulty servers at once.
+    pub fn record_failure(
+        &mut self,
+        job: &id::JobId,
+        run: (job::TaskIndex, id::Run),
+        server: &id::BackendServerId,
+        now_ms: u64,
+    ) {
+        let runs = self.failed_runs.entry(job.clone()).or_default();
+        runs.insert(run);
         let servers = self.failed_servers.entry(job.clone()).or_default();
-        servers.insert(server.clone());
-        if servers.len() >= DISTINCT_FAILURES_MIN {
-            for other in servers.clone() {
+        servers.insert(server.clone(), now_ms);
+        if servers.len().min(runs.len()) >= DISTINCT_FAILURES_MIN {
+            for other in servers.clone().into_keys() {
                 self.clear_failure(job, &other);
             }
             return;
@@ -95,13 +111,19 @@
             .is_some_and(|record| !record.failed_jobs.is_empty() || record.quarantine_ms > 0)
     }
 
-    /// Servers on which a run of `job` failed.
-    pub fn failed_servers(&self, job: &id::JobId) -> BTreeSet<id::BackendServerId> {
-        self.failed_servers.get(job).cloned().unwrap_or_default()
+    /// Servers that `job` avoids at `now_ms`, because it has failed there within
+    /// `AVOIDANCE_DURATION_MS`.
+    pub fn avoided_servers(&self, job: &id::JobId, now_ms: u64) -> BTreeSet<id::BackendServerId> {
+        let servers = self.failed_servers.get(job).into_iter().flatten();
+        servers
+            .filter(|(_, failed_ms)| now_ms < **failed_ms + AVOIDANCE_DURATION_MS)
+            .map(|(server, _)| server.clone())
+            .collect()
     }
 
     /// Removes the failures of an ended job; those that count against servers stay.
     pub fn forget(&mut self, job: &id::JobId) {
         self.failed_servers.remove(job);
+        self.failed_runs.remove(job);
     }
 }
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -150,20 +150,20 @@
         index: job::TaskIndex,
         now: Now,
     ) {
-        self.health.record_failure(id, server_id, now.ms);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         let unit = job.unit_of(index);
         let run = job.runs[&index].run;
+        self.health
+            .record_failure(id, (unit.first, run), server_id, now.ms);
         let mut failures = 0;
         for member in unit.members() {
             let record = job.progress.task_mut(member);
-            // A failed run is meant to count once for each member that took part in it. What is
-            // counted are the reported failures: if several members report a failure of the same
-            // run, each report adds one to every member.
-            if record.run == run {
+            // Several members may report a failure of the same run.
+            if record.run == run && record.failed_run < run {
                 record.failures += 1;
+                record.failed_run = run;
                 failures = failures.max(record.failures);
             }
         }
--- a/lib/jobs/tests/test_job_semantics.rs
+++ b/lib/jobs/tests/test_job_semantics.rs
@@ -43,6 +43,45 @@
     assert_eq!(runs.len(), ATTEMPTS_MAX);
 }
 
+/// A wide gang may have members on several faulty servers, each of which reports a failure of the
+/// same run.
+#[test]
+fn test_job_semantics_run_that_fails_on_several_servers_counts_as_one_attempt() {
+    let mut sim = Simulation::new(1, 3, 0);
+    let job = sim.submit("j1", support::NORMAL, "b", vec![gang(3, 8, 1_000)]);
+    sim.run(500);
+    for name in ["s0-0", "s0-1", "s0-2"] {
+        sim.server(name).fails_all = true;
+    }
+    sim.run(100);
+    for name in ["s0-0", "s0-1", "s0-2"] {
+        sim.server(name).fails_all = false;
+    }
+    sim.run(10_000);
+    assert_eq!(sim.state(&job), JobState::Completed);
+}
+
+#[test]
+fn test_job_semantics_run_that_fails_on_several_servers_counts_once_after_a_takeover() {
+    let mut sim = Simulation::new(1, 3, 0);
+    let job = sim.submit("j1", support::NORMAL, "b", vec![gang(3, 8, 1_000)]);
+    sim.run(500);
+    sim.server("s0-1").is_unreachable = true;
+    sim.server("s0-2").is_unreachable = true;
+    for name in ["s0-0", "s0-1", "s0-2"] {
+        sim.server(name).fails_all = true;
+    }
+    sim.run(100);
+    sim.take_over();
+    for name in ["s0-0", "s0-1", "s0-2"] {
+        sim.server(name).fails_all = false;
+        sim.server(name).is_unreachable = false;
+    }
+    sim.register();
+    sim.run(15_000);
+    assert_eq!(sim.state(&job), JobState::Completed);
+}
+
 #[test]
 fn test_job_semantics_attempt_count_survives_scheduler_takeover() {
     let mut sim = Simulation::new(1, 6, 0);
--- a/lib/jobs/tests/test_loads.rs
+++ b/lib/jobs/tests/test_loads.rs
@@ -97,6 +97,27 @@
     assert!(failures <= 2 * (2 + 3), "{failures} failures");
 }
 
+/// A grey failure of several servers at once: a gang that meets two of them in one run is no proof
+/// that the job is faulty.
+#[test]
+fn test_servers_that_fail_the_same_run_of_a_gang_are_quarantined() {
+    let mut sim = Simulation::new(1, 6, 0);
+    for name in ["s0-0", "s0-1", "s0-2"] {
+        sim.server(name).fails_all = true;
+    }
+    for number in 0..4 {
+        let name = format!("j{number}");
+        sim.submit(&name, support::NORMAL, "b", vec![gang(3, 8, 1_000)]);
+        sim.run(600);
+    }
+    let failed_runs_late = sim
+        .run_records
+        .iter()
+        .filter(|record| record.started_at_ms > support::ORIGIN_MS + 1_600)
+        .filter(|record| ["s0-0", "s0-1", "s0-2"].contains(&record.server.as_str()));
+    assert_eq!(failed_runs_late.count(), 0);
+}
+
 #[test]
 fn test_jobs_that_always_fail_use_up_their_attempts_and_quarantine_no_server() {
     let mut sim = Simulation::new(1, 8, 0);
