jobs: start no task while a restarted server may still start it by an old order

A restarted server is known to have unanswered starts; their tasks now wait until no copy can arrive any more, 14 s after the missing reply was noticed. What remains: a restart that becomes known only after the new start.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -55,6 +55,7 @@
         if now.ms >= self.next_scan_ms {
             self.next_scan_ms = now.ms + SCAN_INTERVAL_MS;
             self.median_speed_ratio = Some(self.speeds.median(self.servers.keys()));
+            self.late_starts.retain(|_, until_ms| now.ms < *until_ms);
             self.retry_orders(now);
             self.remove_lapsed_runs(now);
             self.stop_stalled(now);
@@ -166,7 +167,10 @@
         let mut skipped_step: Option<(u32, u32)> = None;
         for &unit in &ready_job.units {
             let step = (unit.first.occurrence, unit.first.step);
-            if skipped_step == Some(step) || !self.is_waiting(&ready_job.job, unit) {
+            if skipped_step == Some(step)
+                || !self.is_waiting(&ready_job.job, unit)
+                || self.may_start_late(&ready_job.job, unit)
+            {
                 continue;
             }
             if self.claims.contains_key(&(ready_job.job.clone(), unit)) {
@@ -295,6 +299,15 @@
         })
     }
 
+    /// Whether a restarted server may still start a task of the unit by an earlier order.
+    fn may_start_late(&self, id: &id::JobId, unit: PlacementUnit) -> bool {
+        !self.late_starts.is_empty()
+            && unit.members().any(|index| {
+                let job = id.clone();
+                self.late_starts.contains_key(&job::TaskName { job, index })
+            })
+    }
+
     /// Accounts whose open urgent jobs together need no more accelerators than are guaranteed to
     /// the account.
     fn guaranteed_accounts(&self) -> BTreeSet<id::ClientAccountName> {
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -85,6 +85,9 @@
     pub(crate) next_reservation_ms: u64,
     /// Median speed of the servers as of the last scan.
     pub(crate) median_speed_ratio: Option<f64>,
+    /// Tasks that a restarted server may still start by an unanswered order, and until when. The
+    /// new incarnation doesn't know that the run has ended or was stopped.
+    pub(crate) late_starts: BTreeMap<job::TaskName, u64>,
     pub(crate) orders: Vec<Order>,
     pub(crate) events: Vec<Event>,
     /// See [`Engine::is_deposed`].
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -9,6 +9,7 @@
 use crate::open_job;
 use crate::orders::{RunName, StartOutcome, StartRefusal, StopOutcome};
 use crate::progress::TaskState;
+use crate::server::ORDER_DELAY_MAX_MS;
 
 /// How long a backend server gets no work after it refused a task because of too few free
 /// resources.
@@ -77,7 +78,9 @@
             .servers
             .get(id)
             .map(|server| server.unanswered_starts.clone());
-        for name in unanswered_starts.unwrap_or_default().into_keys() {
+        for (name, noticed_ms) in unanswered_starts.unwrap_or_default() {
+            let until_ms = noticed_ms + ORDER_DELAY_MAX_MS;
+            self.late_starts.insert(name.task.clone(), until_ms);
             let is_active = self
                 .jobs
                 .get(&name.task.job)
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -25,7 +25,7 @@
 
 /// Longest time after which an order without a usable reply can still be carried out: 12 s in the
 /// platform, plus the time that the order may wait in the scheduler.
-const ORDER_DELAY_MAX_MS: u64 = 14_000;
+pub(crate) const ORDER_DELAY_MAX_MS: u64 = 14_000;
 
 /// The scheduler's state for one backend server: registration, clock, lease, acknowledged ends and
 /// used resources.
