cli: link no tracing into the program of entry hosts, set signal handlers first, name the version

fastrace's clock library measures the processor's clock in a constructor before main, on each start of every command. A host of 0.09 core spends a quarter of a second on that, more while it is slowed, and SIGHUP ends a process that has no handler yet.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -15,10 +15,19 @@
 use crate::client::{ApiClient, CallError};
 use crate::{exit, host, print, serve};
 
+/// Version of the program, with the revision of its source.
+pub const VERSION: &str = concat!(
+    env!("CARGO_PKG_VERSION"),
+    " (",
+    env!("CAMPHORBEAM_REVISION"),
+    ")"
+);
+
 /// Returns the definition of the command line.
 pub fn command() -> Command {
     Command::new("camphorbeam")
         .about("Schedules multi-accelerator jobs under client account guarantees")
+        .version(VERSION)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(
@@ -185,10 +194,10 @@
 }
 
 /// Runs the command that `matches` names.
-pub fn run(matches: &ArgMatches) -> exit::Code {
+pub fn run(matches: &ArgMatches, signals: Option<anyhow::Result<host::SignalFlags>>) -> exit::Code {
     let (name, matches) = match matches.subcommand() {
         Some(("serve", matches)) => return serve::run(matches),
-        Some(("host", matches)) => return host::run(matches),
+        Some(("host", matches)) => return host::run(matches, signals),
         Some(subcommand) => subcommand,
         None => return exit::Code::Usage,
     };
--- a/cli/src/host.rs
+++ b/cli/src/host.rs
@@ -21,7 +21,7 @@
 use clap::{Arg, ArgMatches, Command};
 use http_types::{Response, StatusCode};
 
-use crate::exit;
+use crate::{commands, exit};
 
 /// Time between two checks for signals and, during shutdown, between two checks whether all work
 /// has ended.
@@ -79,13 +79,17 @@
         )
 }
 
-/// Runs an entry host until it is stopped by a signal, and returns the exit code.
-pub fn run(matches: &ArgMatches) -> exit::Code {
+/// Returns whether these arguments of the process name the `host` command.
+pub fn is_requested(mut args: impl Iterator<Item = std::ffi::OsString>) -> bool {
+    args.nth(1).is_some_and(|name| name == "host")
+}
+
+/// Runs an entry host until it is stopped by a signal, and returns the exit code. `signals` has the
+/// handlers that were registered at the start of the process.
+pub fn run(matches: &ArgMatches, signals: Option<anyhow::Result<SignalFlags>>) -> exit::Code {
     let arg_text = |flag: &str| matches.get_one::<String>(flag).map_or("", String::as_str);
     let path = PathBuf::from(arg_text("settings-file"));
-    // The handlers are registered before anything else, because a signal that arrives without a
-    // handler ends the process at once.
-    let signals = match SignalFlags::register() {
+    let signals = match signals.unwrap_or_else(SignalFlags::register) {
         Ok(signals) => signals,
         Err(error) => {
             eprintln!("camphorbeam host: signals can't be handled: {error:#}");
@@ -117,13 +121,19 @@
 }
 
 /// Flags that signal handlers set.
-struct SignalFlags {
+#[derive(Debug)]
+pub struct SignalFlags {
     stop: Arc<AtomicBool>,
     check_settings: Arc<AtomicBool>,
 }
 
 impl SignalFlags {
-    fn register() -> anyhow::Result<Self> {
+    /// Registers the handlers of SIGTERM, SIGINT and SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a handler can't be registered.
+    pub fn register() -> anyhow::Result<Self> {
         let stop = Arc::new(AtomicBool::new(false));
         let check_settings = Arc::new(AtomicBool::new(false));
         for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
@@ -192,7 +202,7 @@
         caller_handler(Arc::clone(&host), Arc::clone(&open_calls)),
     ));
     spdlog::info!("entry host started", kv: {
-        host = settings.host.as_str(), zone = settings.zone.as_str()
+        host = settings.host.as_str(), zone = settings.zone.as_str(), version = commands::VERSION
     });
     while !signals.stop.load(Ordering::Relaxed) {
         clock.sleep(POLL_INTERVAL).await;
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -10,6 +10,12 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
+    // A signal that arrives without a handler ends the process, and building the command line takes
+    // long on a host with little processor time.
+    let signals = match host::is_requested(std::env::args_os()) {
+        true => Some(host::SignalFlags::register()),
+        false => None,
+    };
     let matches = match commands::command().try_get_matches() {
         Ok(matches) => matches,
         Err(error) => {
@@ -22,5 +28,5 @@
             };
         }
     };
-    commands::run(&matches).into()
+    commands::run(&matches, signals).into()
 }
--- a/cli/src/serve.rs
+++ b/cli/src/serve.rs
@@ -28,7 +28,7 @@
         }
     };
     let arg_text = |flag: &str| matches.get_one::<String>(flag).map_or("", String::as_str);
-    let recording = match start_telemetry(arg_text("log-level"), arg_text("trace-file"), &settings)
+    let _recording = match start_telemetry(arg_text("log-level"), arg_text("trace-file"), &settings)
     {
         Ok(recording) => recording,
         Err(error) => {
@@ -40,9 +40,7 @@
     // Both async runtimes read their number of threads once, when the first task starts.
     std::env::set_var("ASYNC_STD_THREAD_COUNT", threads);
     std::env::set_var("TOKIO_WORKER_THREADS", threads);
-    let result = task::block_on(serve(settings));
-    drop(recording);
-    match result {
+    match task::block_on(serve(settings)) {
         Ok(()) => exit::Code::Success,
         Err(error) => {
             eprintln!("camphorbeam serve: {error:#}");
--- a/lib/telemetry/src/traces.rs
+++ b/lib/telemetry/src/traces.rs
@@ -6,10 +6,11 @@
 
 use std::sync::atomic::{AtomicBool, Ordering};
 
-pub use fastrace::collector::SpanContext;
-pub use fastrace::future::FutureExt;
-use fastrace::local::LocalSpan;
-pub use fastrace::Span;
+#[cfg(feature = "traces")]
+pub use fastrace::{collector::SpanContext, future::FutureExt, local::LocalSpan, Span};
+
+#[cfg(not(feature = "traces"))]
+pub use crate::untraced::{FutureExt, LocalSpan, Span, SpanContext};
 
 /// HTTP header that carries the trace context.
 pub const TRACEPARENT: &str = "traceparent";
@@ -33,6 +34,7 @@
     IS_RECORDING.load(Ordering::Relaxed)
 }
 
+#[cfg(feature = "traces")]
 pub(crate) fn set_recording() {
     IS_RECORDING.store(true, Ordering::Relaxed);
 }
@@ -44,6 +46,7 @@
 pub fn start_or_continue_trace(name: &'static str, parent: Option<SpanContext>) -> Span {
     match parent {
         Some(parent) => Span::root(name, parent),
+        #[cfg(feature = "traces")]
         None if is_recording() => Span::root(name, SpanContext::random()),
         None => Span::noop(),
     }
