jobs: store finished tasks as ranges

The row of a job is rewritten with each start and end, whole. Finished tasks with consecutive ranks now take one array of four numbers.

--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -132,37 +132,57 @@
     }
 }
 
-/// A task and its progress record, serialized as an array: rows are rewritten with each start and
-/// end, so they have to be small. The ninth element, `failed_run`, is left out if it is zero.
-struct TaskEntry(job::TaskIndex, TaskRecord);
+/// An entry of the stored tasks, serialized as an array. Rows are rewritten with each start and end,
+/// so they have to be small.
+enum TaskEntry {
+    /// Eight elements, or nine with `failed_run` if it isn't zero.
+    Record(job::TaskIndex, TaskRecord),
+    /// Finished tasks with consecutive ranks, four elements: occurrence, step, first and last rank.
+    /// What else is known of them has no use any more.
+    DoneRange(job::TaskIndex, u32),
+}
 
 impl serde::Serialize for TaskEntry {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        let Self(index, record) = self;
-        let state = match record.state {
-            TaskState::Waiting => "w",
-            TaskState::Started => "s",
-            TaskState::Done => "d",
-        };
-        let has_failed = record.failed_run != id::Run::default();
-        let mut tuple = serializer.serialize_tuple(TASK_ENTRY_LENGTH + usize::from(has_failed))?;
-        tuple.serialize_element(&index.occurrence)?;
-        tuple.serialize_element(&index.step)?;
-        tuple.serialize_element(&index.rank)?;
-        tuple.serialize_element(&record.run)?;
-        tuple.serialize_element(state)?;
-        tuple.serialize_element(&record.server)?;
-        tuple.serialize_element(&record.failures)?;
-        tuple.serialize_element(&record.checkpoint)?;
-        if has_failed {
-            tuple.serialize_element(&record.failed_run)?;
+        match self {
+            Self::Record(index, record) => serialize_record(*index, record, serializer),
+            Self::DoneRange(first, last_rank) => {
+                let mut tuple = serializer.serialize_tuple(4)?;
+                tuple.serialize_element(&first.occurrence)?;
+                tuple.serialize_element(&first.step)?;
+                tuple.serialize_element(&first.rank)?;
+                tuple.serialize_element(last_rank)?;
+                tuple.end()
+            }
         }
-        tuple.end()
     }
 }
 
-/// Length of the array that a task without a counted failure is serialized as.
-const TASK_ENTRY_LENGTH: usize = 8;
+fn serialize_record<S: serde::Serializer>(
+    index: job::TaskIndex,
+    record: &TaskRecord,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    let state = match record.state {
+        TaskState::Waiting => "w",
+        TaskState::Started => "s",
+        TaskState::Done => "d",
+    };
+    let has_failed = record.failed_run != id::Run::default();
+    let mut tuple = serializer.serialize_tuple(8 + usize::from(has_failed))?;
+    tuple.serialize_element(&index.occurrence)?;
+    tuple.serialize_element(&index.step)?;
+    tuple.serialize_element(&index.rank)?;
+    tuple.serialize_element(&record.run)?;
+    tuple.serialize_element(state)?;
+    tuple.serialize_element(&record.server)?;
+    tuple.serialize_element(&record.failures)?;
+    tuple.serialize_element(&record.checkpoint)?;
+    if has_failed {
+        tuple.serialize_element(&record.failed_run)?;
+    }
+    tuple.end()
+}
 
 struct TaskEntryVisitor;
 
@@ -171,14 +191,14 @@
     position: usize,
 ) -> Result<T, A::Error> {
     seq.next_element()?
-        .ok_or_else(|| de::Error::invalid_length(position, &"an array of eight or nine elements"))
+        .ok_or_else(|| de::Error::invalid_length(position, &"an array of four or eight elements"))
 }
 
 impl<'de> Visitor<'de> for TaskEntryVisitor {
     type Value = TaskEntry;
 
     fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("a task as an array of eight or nine elements")
+        f.write_str("tasks as an array of four, eight or nine elements")
     }
 
     fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<TaskEntry, A::Error> {
@@ -187,23 +207,28 @@
             step: required_element(&mut seq, 1)?,
             rank: required_element(&mut seq, 2)?,
         };
-        let run = required_element(&mut seq, 3)?;
-        let state: String = required_element(&mut seq, 4)?;
-        let state = match state.as_str() {
-            "w" => TaskState::Waiting,
-            "s" => TaskState::Started,
-            "d" => TaskState::Done,
-            other => return Err(de::Error::unknown_variant(other, &["w", "s", "d"])),
+        // The run of a record, or the last rank of a range.
+        let number: u32 = required_element(&mut seq, 3)?;
+        let state: Option<String> = seq.next_element()?;
+        let state = match state.as_deref() {
+            None if (index.rank..job::TASKS_MAX).contains(&number) => {
+                return Ok(TaskEntry::DoneRange(index, number))
+            }
+            None => return Err(de::Error::custom("the range of finished tasks is invalid")),
+            Some("w") => TaskState::Waiting,
+            Some("s") => TaskState::Started,
+            Some("d") => TaskState::Done,
+            Some(other) => return Err(de::Error::unknown_variant(other, &["w", "s", "d"])),
         };
         let record = TaskRecord {
-            run,
+            run: id::Run(number),
             state,
             server: required_element(&mut seq, 5)?,
             failures: required_element(&mut seq, 6)?,
             checkpoint: required_element(&mut seq, 7)?,
             failed_run: seq.next_element()?.unwrap_or_default(),
         };
-        Ok(TaskEntry(index, record))
+        Ok(TaskEntry::Record(index, record))
     }
 }
 
@@ -219,26 +244,50 @@
     use camphorbeam_model::job;
     use serde::Deserialize as _;
 
-    use super::{TaskEntry, TaskRecord};
+    use super::{TaskEntry, TaskRecord, TaskState};
 
     pub(super) fn serialize<S: serde::Serializer>(
         tasks: &BTreeMap<job::TaskIndex, TaskRecord>,
         serializer: S,
     ) -> Result<S::Ok, S::Error> {
-        serializer.collect_seq(
-            tasks
-                .iter()
-                .map(|(index, record)| TaskEntry(*index, record.clone())),
-        )
+        let mut entries: Vec<TaskEntry> = Vec::new();
+        for (index, record) in tasks {
+            let is_done = record.state == TaskState::Done;
+            match entries.last_mut() {
+                Some(TaskEntry::DoneRange(first, last_rank))
+                    if is_done
+                        && (first.occurrence, first.step) == (index.occurrence, index.step)
+                        && *last_rank + 1 == index.rank =>
+                {
+                    *last_rank = index.rank;
+                }
+                _ if is_done => entries.push(TaskEntry::DoneRange(*index, index.rank)),
+                _ => entries.push(TaskEntry::Record(*index, record.clone())),
+            }
+        }
+        serializer.collect_seq(entries)
     }
 
     pub(super) fn deserialize<'de, D: serde::Deserializer<'de>>(
         deserializer: D,
     ) -> Result<BTreeMap<job::TaskIndex, TaskRecord>, D::Error> {
-        let entries = Vec::<TaskEntry>::deserialize(deserializer)?;
-        Ok(entries
-            .into_iter()
-            .map(|TaskEntry(index, record)| (index, record))
-            .collect())
+        let mut tasks = BTreeMap::new();
+        for entry in Vec::<TaskEntry>::deserialize(deserializer)? {
+            match entry {
+                TaskEntry::Record(index, record) => {
+                    tasks.insert(index, record);
+                }
+                TaskEntry::DoneRange(first, last_rank) => {
+                    let done = TaskRecord {
+                        state: TaskState::Done,
+                        ..TaskRecord::default()
+                    };
+                    let ranks = first.rank..=last_rank;
+                    let indexes = ranks.map(|rank| job::TaskIndex { rank, ..first });
+                    tasks.extend(indexes.map(|index| (index, done.clone())));
+                }
+            }
+        }
+        Ok(tasks)
     }
 }
--- a/lib/jobs/tests/test_progress.rs
+++ b/lib/jobs/tests/test_progress.rs
@@ -48,6 +48,47 @@
     assert_eq!(serde_json::to_string(&progress).unwrap(), text);
 }
 
+/// The row of a job with many tasks is rewritten with each end, so its finished tasks have to take
+/// little room on a slow link.
+#[test]
+fn test_progress_of_finished_tasks_is_stored_as_ranges() {
+    let mut progress = Progress::default();
+    for rank in 0..80 {
+        let state = match rank {
+            40 => TaskState::Waiting,
+            41 => TaskState::Started,
+            _ => TaskState::Done,
+        };
+        let record = TaskRecord {
+            state,
+            ..started_record()
+        };
+        progress.tasks.insert(index(0, 0, rank), record);
+    }
+    let text = serde_json::to_string(&progress).unwrap();
+    assert!(text.len() < 250, "{text}");
+    let read: Progress = serde_json::from_str(&text).unwrap();
+    for rank in 0..80 {
+        let index = index(0, 0, rank);
+        assert_eq!(read.task_state(index), progress.task_state(index));
+    }
+    assert_eq!(read.task(index(0, 0, 41)), started_record());
+    assert_eq!(read.tasks.len(), 80);
+}
+
+#[test]
+fn test_progress_with_an_invalid_range_is_refused() {
+    for range in [
+        "[0,0,5,4]",
+        "[0,0,5,4294967295]",
+        "[0,0,5,99999999999]",
+        "[0,0,5]",
+    ] {
+        let text = format!(r#"{{"s":"running","b":true,"e":0,"t":[{range}]}}"#);
+        assert!(serde_json::from_str::<Progress>(&text).is_err(), "{text}");
+    }
+}
+
 #[test]
 fn test_progress_of_a_finished_step_drops_its_task_records() {
     let mut progress = Progress::default();
