host: read the inbox when its feed is silent, and take a job's age from the store's clock

Two faults of the way from acceptance to the scheduler. New tests: the silent feed hung for good before; the time by the store's clock was not stored before.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -377,6 +377,7 @@
             queue: id::QueueName::new(queue).unwrap(),
             terms: priority.unwrap().job_settings.clone(),
             accepted_unix_ms: self.now_ms,
+            accepted_store_ms: Some(self.now_ms),
             spec: job::JobSpec {
                 payload: "p".into(),
                 steps,
@@ -385,7 +386,7 @@
         };
         self.accepted.insert(id.clone(), accepted.clone());
         let now = self.now();
-        self.engine.submit(id.clone(), accepted, None, now);
+        self.engine.submit(id.clone(), accepted, None, 0, now);
         id
     }
 
@@ -404,8 +405,9 @@
         let now = self.now();
         for (id, accepted) in &self.accepted {
             let stored = self.stored.get(id).cloned();
+            let age_ms = accepted.age_ms(now.ms, now.unix_ms);
             self.engine
-                .submit(id.clone(), accepted.clone(), stored, now);
+                .submit(id.clone(), accepted.clone(), stored, age_ms, now);
         }
     }
 
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -170,6 +170,7 @@
             queue: authorized.queue.name.clone(),
             terms: authorized.queue.job_settings.clone(),
             accepted_unix_ms: self.clock.unix_ms(),
+            accepted_store_ms: self.store.store_ms(),
             spec: spec.clone(),
         };
         let text = match serde_json::to_string(&accepted) {
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -43,6 +43,8 @@
     direct_failed_at: Option<clock::Monotonic>,
     direct_succeeded_at: Option<clock::Monotonic>,
     reached_at: Option<clock::Monotonic>,
+    /// The store's clock in its newest reply, and when that arrived.
+    store_clock: Option<(u64, clock::Monotonic)>,
 }
 
 impl RelayedStore {
@@ -83,6 +85,19 @@
         connectivity.direct_failed_at.is_none() && connectivity.direct_succeeded_at.is_some()
     }
 
+    /// The store's clock now, estimated from its newest reply; `None` before the first one.
+    pub fn store_ms(&self) -> Option<u64> {
+        let now = self.clock.now();
+        self.lock().store_clock.map(|(store_ms, received_at)| {
+            store_ms.saturating_add(clock::as_ms(now.since(received_at)))
+        })
+    }
+
+    fn record_store_clock(&self, rows: &store::Rows) {
+        let now = self.clock.now();
+        self.lock().store_clock = Some((rows.store_ms, now));
+    }
+
     /// Whether the store was recently reached, directly or through another host.
     pub fn is_reachable(&self) -> bool {
         let now = self.clock.now();
@@ -212,13 +227,20 @@
     ) -> Result<store::Rows, PlatformError> {
         if self.is_direct_usable() {
             match self.direct_rows(table, part, from, to).await {
-                Ok(rows) => return Ok(rows),
+                Ok(rows) => {
+                    self.record_store_clock(&rows);
+                    return Ok(rows);
+                }
                 Err(error @ PlatformError::Rejected { .. }) => return Err(error),
                 // The failure is already logged and counted; another host may reach the store.
                 Err(_) => {}
             }
         }
-        self.relayed_rows(table, part, from, to).await
+        let relayed = self.relayed_rows(table, part, from, to).await;
+        if let Ok(rows) = &relayed {
+            self.record_store_clock(rows);
+        }
+        relayed
     }
 
     async fn commit(
@@ -268,6 +290,9 @@
         // Not recorded in the metrics, since the duration of a long poll is not a latency.
         let result = self.direct.changes(table, version, wait).await;
         self.record_direct(&result);
+        if let Ok(store::Changes::Rows(rows)) = &result {
+            self.record_store_clock(rows);
+        }
         result
     }
 }
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -37,8 +37,13 @@
 /// reports on runs.
 const DECISION_PAUSE_RATIO: u32 = 3;
 
-/// Long-poll timeout of a request for inbox changes.
-const INBOX_POLL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Long-poll timeout of a request for inbox changes. Short, since an urgent job that is accepted
+/// while the feed is silent waits until the next request.
+const INBOX_POLL_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time after the end of its long poll at which a feed without a reply counts as silent, and the
+/// inbox is read instead. The store may take a third of a second to reply.
+const FEED_SILENCE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Long-poll timeout of a request for changes to the server registry.
 const REGISTRY_POLL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -147,7 +152,7 @@
             .lock()
             .set_terms(scheduler.deps.current_terms.terms());
         scheduler.apply_server_registry(&registry.rows);
-        scheduler.apply_inbox(&inbox.rows, &stored.rows);
+        scheduler.apply_inbox(&inbox, &stored.rows);
         scheduler
             .deps
             .current_terms
@@ -236,7 +241,7 @@
         }
     }
 
-    fn apply_inbox(&self, inbox_rows: &[store::Row], progress_rows: &[store::Row]) {
+    fn apply_inbox(&self, inbox: &store::Rows, progress_rows: &[store::Row]) {
         let mut progress: BTreeMap<&str, (progress::Progress, u64)> = BTreeMap::new();
         for row in progress_rows {
             let text = row.value.as_deref().unwrap_or_default();
@@ -249,11 +254,12 @@
         }
         let now = self.now();
         let mut engine = self.lock();
-        for row in inbox_rows {
+        for row in &inbox.rows {
             match rows::parse_inbox_entry(row) {
                 Ok(Some(rows::InboxEntry::Job(id, accepted))) => {
                     let stored = progress.remove(id.as_str());
-                    engine.submit(id, *accepted, stored, now);
+                    let age_ms = accepted.age_ms(inbox.store_ms, now.unix_ms);
+                    engine.submit(id, *accepted, stored, age_ms, now);
                 }
                 Ok(Some(rows::InboxEntry::Cancel(id))) => engine.cancel(&id, now),
                 Ok(None) => {}
@@ -264,15 +270,21 @@
 
     async fn watch_inbox(self: Arc<Self>, mut version: u64) {
         while !self.is_stopped() {
-            let changes = self
+            let polling = self
                 .deps
                 .store
-                .changes(rows::INBOX_TABLE, version, INBOX_POLL_TIMEOUT)
-                .await;
+                .changes(rows::INBOX_TABLE, version, INBOX_POLL_TIMEOUT);
+            let limit = INBOX_POLL_TIMEOUT + FEED_SILENCE_MARGIN;
+            let changes = match self.deps.clock.timeout(limit, polling).await {
+                Ok(changes) => changes,
+                Err(elapsed) => Err(PlatformError::Unknown {
+                    reason: format!("the feed of the inbox is silent: {elapsed}"),
+                }),
+            };
             match changes {
                 Ok(store::Changes::Rows(changes)) if changes.version >= version => {
                     version = changes.version;
-                    self.apply_inbox(&changes.rows, &[]);
+                    self.apply_inbox(&changes, &[]);
                 }
                 // The reply is older than what is known, so it holds nothing new.
                 Ok(store::Changes::Rows(_)) => self.deps.clock.sleep(STORE_RETRY_DELAY).await,
@@ -289,7 +301,7 @@
     /// effect.
     async fn read_inbox(&self) -> Option<u64> {
         let inbox = rows::read_inbox(&*self.deps.store).await.ok()?;
-        self.apply_inbox(&inbox.rows, &[]);
+        self.apply_inbox(&inbox, &[]);
         Some(inbox.version)
     }
 
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -150,6 +150,20 @@
     assert_eq!(fixture.submit("k2", "j1"), Reply::IdConflict);
 }
 
+#[test]
+fn test_gateway_stores_the_time_of_acceptance_by_the_clock_of_the_store() {
+    let (clock, time) = clock::Clock::manual(0);
+    let fixture = Fixture::with_clock(clock);
+    fixture.store.advance(std::time::Duration::from_secs(7));
+    fixture.call("k1", "/q/j0", Operation::Read);
+    time.advance(std::time::Duration::from_millis(250));
+    fixture.submit("k1", "j1");
+    let key = rows::job_key(&id::JobId::new("j1").unwrap());
+    let accepted = fixture.store.value(&key).unwrap();
+    let accepted: job::AcceptedJob = serde_json::from_str(&accepted).unwrap();
+    assert_eq!(accepted.accepted_store_ms, Some(7_250));
+}
+
 #[test]
 fn test_gateway_refuses_only_a_job_that_is_not_stored() {
     let fixture = Fixture::new();
--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -59,11 +59,13 @@
     }
 }
 
-/// A store that refuses writes to the inbox while `refuses_inbox_writes` is set.
+/// A store that refuses writes to the inbox, or whose feed of the inbox is silent, while the flags
+/// are set.
 #[derive(Clone, Default)]
 struct PartlyBusyStore {
     inner: MemoryStore,
     refuses_inbox_writes: Arc<AtomicBool>,
+    is_inbox_feed_silent: Arc<AtomicBool>,
 }
 
 #[async_trait]
@@ -98,6 +100,9 @@
         version: u64,
         wait: Duration,
     ) -> Result<store::Changes, PlatformError> {
+        if table == rows::INBOX_TABLE && self.is_inbox_feed_silent.load(Ordering::SeqCst) {
+            futures::future::pending::<()>().await;
+        }
         task::sleep(Duration::from_millis(1)).await;
         self.inner.changes(table, version, wait).await
     }
@@ -164,8 +169,8 @@
         }
     }
 
-    /// Stores a job that ended long ago.
-    fn put_ended_job(&self, id: &id::JobId) {
+    /// Stores an accepted job.
+    fn put_job(&self, id: &id::JobId) {
         let accepted = job::AcceptedJob {
             account: id::ClientAccountName::new("acme").unwrap(),
             queue: id::QueueName::new("q").unwrap(),
@@ -177,6 +182,7 @@
                 objective_extra_ms: 250,
             },
             accepted_unix_ms: 0,
+            accepted_store_ms: None,
             spec: job::JobSpec {
                 payload: "p".into(),
                 steps: vec![job::StepSpec {
@@ -186,20 +192,20 @@
                 schedule: None,
             },
         };
+        let text = serde_json::to_string(&accepted).unwrap();
+        self.store.inner.put(&rows::job_key(id), &text);
+    }
+
+    /// Stores a job that ended long ago.
+    fn put_ended_job(&self, id: &id::JobId) {
+        self.put_job(id);
         let progress = Progress {
             state: JobState::Completed,
             ended_unix_ms: 1,
             ..Progress::default()
         };
-        let store = &self.store.inner;
-        store.put(
-            &rows::job_key(id),
-            &serde_json::to_string(&accepted).unwrap(),
-        );
-        store.put(
-            &rows::progress_key(id),
-            &serde_json::to_string(&progress).unwrap(),
-        );
+        let text = serde_json::to_string(&progress).unwrap();
+        self.store.inner.put(&rows::progress_key(id), &text);
     }
 
     fn has_rows(&self, id: &id::JobId) -> (bool, bool) {
@@ -230,3 +236,38 @@
     assert_eq!(fixture.has_rows(&id), (false, false));
     scheduler.stop();
 }
+
+/// The feed of the store may go silent without an error, for example when it forgets its history.
+#[test]
+fn test_scheduler_learns_of_jobs_within_a_second_while_the_feed_is_silent() {
+    let fixture = Fixture::new();
+    let scheduler = fixture.start_scheduler();
+    fixture.advance(Duration::from_millis(500));
+    let is_silent = &fixture.store.is_inbox_feed_silent;
+    is_silent.store(true, Ordering::SeqCst);
+    fixture.advance(Duration::from_millis(500));
+    for number in 0..3 {
+        let id = id::JobId::new(&format!("00000000000000b{number}")).unwrap();
+        fixture.put_job(&id);
+        fixture.advance(Duration::from_secs(1));
+        let waiting: u64 = scheduler.waiting_jobs().into_values().sum();
+        assert_eq!(waiting, number + 1);
+    }
+    scheduler.stop();
+}
+
+/// The clocks of the hosts differ and may jump; a job must not count as old for that.
+#[test]
+fn test_scheduler_takes_the_age_of_a_job_from_the_clock_of_the_store() {
+    let fixture = Fixture::new();
+    let id = id::JobId::new("00000000000000c1").unwrap();
+    fixture.put_job(&id);
+    let text = fixture.store.inner.value(&rows::job_key(&id)).unwrap();
+    let mut accepted: job::AcceptedJob = serde_json::from_str(&text).unwrap();
+    let unix_ms = 1_000_000;
+    accepted.accepted_unix_ms = unix_ms - 5_000;
+    assert_eq!(accepted.age_ms(70, unix_ms), 5_000);
+    accepted.accepted_store_ms = Some(60);
+    assert_eq!(accepted.age_ms(70, unix_ms), 10);
+    assert_eq!(accepted.age_ms(50, unix_ms), 0);
+}
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -178,12 +178,14 @@
         self.ended_jobs.contains_key(job) || self.removed_jobs.contains_key(job)
     }
 
-    /// Adds an accepted job, with its stored progress and the version of that row, if there is one.
+    /// Adds a job that was accepted `age_ms` ago, with its stored progress and the version of that
+    /// row, if there is one.
     pub fn submit(
         &mut self,
         id: id::JobId,
         mut accepted: job::AcceptedJob,
         stored: Option<(Progress, u64)>,
+        age_ms: u64,
         now: Now,
     ) {
         if self.has_job(&id) {
@@ -197,7 +199,6 @@
             self.ended_jobs.insert(id, progress.ended_unix_ms);
             return;
         }
-        let age_ms = now.unix_ms.saturating_sub(accepted.accepted_unix_ms);
         let accepted_ms = now.ms.saturating_sub(age_ms);
         let is_cancelled = self.cancelled_before_submit.remove(&id).is_some();
         let mut job =
--- a/lib/model/src/job.rs
+++ b/lib/model/src/job.rs
@@ -228,9 +228,25 @@
     pub terms: QueueJobSettings,
     /// Time of acceptance by the clock of the accepting host, in milliseconds since the Unix epoch.
     pub accepted_unix_ms: u64,
+    /// Time of acceptance by the store's steady clock, as the accepting host estimated it; `None` if
+    /// the host had not heard from the store yet, and in rows of earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted_store_ms: Option<u64>,
     pub spec: JobSpec,
 }
 
+impl AcceptedJob {
+    /// Time since the acceptance, in milliseconds, when the store's clock shows `store_ms`. The
+    /// clocks of the hosts are compared only if the time by the store's clock isn't known, since
+    /// they differ and may jump.
+    pub fn age_ms(&self, store_ms: u64, unix_ms: u64) -> u64 {
+        match self.accepted_store_ms {
+            Some(accepted_store_ms) => store_ms.saturating_sub(accepted_store_ms),
+            None => unix_ms.saturating_sub(self.accepted_unix_ms),
+        }
+    }
+}
+
 /// Settings of a queue that apply to its jobs.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct QueueJobSettings {
