host: spread the return of callers while the store is away

Callers are now spread over 2, 3 and 4 s by the id of their job. The new test failed before: one delay for all.

--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -31,8 +31,10 @@
 /// Delay before retrying a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Seconds after which a caller may retry when the store can't be reached.
-const STORE_RETRY_AFTER_S: u64 = 2;
+/// Seconds after which a caller may retry when the store can't be reached: the least, and the number
+/// of different values. Callers are spread over them by the id of their job, so that they don't all
+/// return at once.
+const STORE_RETRY_AFTER_S: (u64, u64) = (2, 3);
 
 /// Age from which the scheduler's published number of waiting jobs is ignored, and the jobs in the
 /// store are counted instead.
@@ -69,10 +71,12 @@
     job: Option<id::JobId>,
 }
 
-fn store_unavailable(error: &PlatformError) -> Reply {
+fn store_unavailable(job: Option<&id::JobId>, error: &PlatformError) -> Reply {
+    let (least_s, values) = STORE_RETRY_AFTER_S;
+    let id_sum: u64 = job.map_or(0, |id| id.as_str().bytes().map(u64::from).sum());
     Reply::Unavailable {
         reason: format!("the store can't be reached: {error}"),
-        retry_after_s: STORE_RETRY_AFTER_S,
+        retry_after_s: least_s + id_sum % values,
     }
 }
 
@@ -186,9 +190,10 @@
             removals: Vec::new(),
         };
         if !self.store.is_reachable() {
-            return store_unavailable(&PlatformError::NotApplied {
+            let error = PlatformError::NotApplied {
                 reason: "not reached for some time".to_owned(),
-            });
+            };
+            return store_unavailable(Some(id), &error);
         }
         let mut may_be_stored = false;
         let limit = SUBMIT_OUTCOME_LIMIT.min(budget.limit);
@@ -204,7 +209,9 @@
             let elapsed = self.elapsed(budget);
             match may_be_stored {
                 true if elapsed >= limit => return Reply::OutcomeUnknown(error.to_string()),
-                false if elapsed >= UNAPPLIED_LIMIT.min(limit) => return store_unavailable(&error),
+                false if elapsed >= UNAPPLIED_LIMIT.min(limit) => {
+                    return store_unavailable(Some(id), &error)
+                }
                 _ => self.clock.sleep(RETRY_DELAY).await,
             }
         }
@@ -257,7 +264,7 @@
                 self.state_for_owner(authorized, id, progress::JobState::Queued, budget)
                     .await
             }
-            Err(error) => store_unavailable(&error),
+            Err(error) => store_unavailable(Some(id), &error),
         }
     }
 
@@ -271,7 +278,7 @@
     ) -> Reply {
         let row = match self.read_row(&rows::job_key(id), budget).await {
             Ok(row) => row,
-            Err(error) => return store_unavailable(&error),
+            Err(error) => return store_unavailable(Some(id), &error),
         };
         match row.as_ref().map(parse_row::<job::AcceptedJob>) {
             Some(Some(job)) if job.account == authorized.account => Reply::State(state),
@@ -294,7 +301,7 @@
     ) -> Reply {
         let row = match self.read_row(&rows::job_key(id), budget).await {
             Ok(row) => row,
-            Err(error) => return store_unavailable(&error),
+            Err(error) => return store_unavailable(Some(id), &error),
         };
         let is_stored = match row.as_ref().map(parse_row::<job::AcceptedJob>) {
             Some(Some(job)) if job.account != authorized.account => return Reply::NoSuchJob,
@@ -325,7 +332,7 @@
             .await
         {
             Ok(read) => read,
-            Err(error) => return store_unavailable(&error),
+            Err(error) => return store_unavailable(None, &error),
         };
         let lease_row = read.0.and_then(|row| parse_row::<rows::LeaseRow>(&row));
         match lease_row {
@@ -365,7 +372,7 @@
                 };
                 Reply::Waiting(jobs.rows.iter().filter(is_waiting).count() as u64)
             }
-            (Err(error), _) | (_, Err(error)) => store_unavailable(&error),
+            (Err(error), _) | (_, Err(error)) => store_unavailable(None, &error),
         }
     }
 
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -175,6 +175,29 @@
     assert!(!fixture.is_stored("j1"));
 }
 
+/// The store is away for all callers at once; they must not all return at the same moment.
+#[test]
+fn test_gateway_spreads_the_return_of_callers_while_the_store_is_away() {
+    let (clock, time) = clock::Clock::manual(0);
+    let fixture = Fixture::with_clock(clock);
+    fixture.store.set_fault(Fault::Delayed);
+    time.advance(std::time::Duration::from_secs(3));
+    let mut callers_by_delay = std::collections::BTreeMap::new();
+    for number in 0..90 {
+        match fixture.submit("k1", &format!("j{number:04}")) {
+            Reply::Unavailable { retry_after_s, .. } => {
+                *callers_by_delay.entry(retry_after_s).or_insert(0) += 1;
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(callers_by_delay.len() >= 3, "{callers_by_delay:?}");
+    assert!(callers_by_delay.values().all(|callers| *callers <= 45));
+    assert!(callers_by_delay
+        .keys()
+        .all(|delay_s| (2..=4).contains(delay_s)));
+}
+
 #[test]
 fn test_gateway_refuses_at_once_after_the_store_has_been_unreachable_for_some_time() {
     let (clock, time) = clock::Clock::manual(0);
