jobs: split the placement decision

The demand for urgent work and the kept servers get functions of their own; the decision reads as its steps. No change in behaviour: the demand of a service is recorded once a decision, where a second record of the same moment had no weight.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -113,34 +113,13 @@
 
     fn place_all(&mut self, now: Now) {
         let ready_jobs = self.ready_jobs(now);
-        let urgent = self.urgent_accelerators(&ready_jobs);
-        for (service, headroom) in &mut self.headroom {
-            headroom.update(now.ms, urgent.get(service).copied().unwrap_or(0));
-        }
-        for (service, accelerators) in &urgent {
-            let headroom = self.headroom.entry(service.clone()).or_default();
-            headroom.update(now.ms, *accelerators);
-        }
+        self.update_headroom(&ready_jobs, now);
         self.drop_claims(now);
         if ready_jobs.is_empty() {
             return;
         }
         let mut snapshot = self.capacity_snapshot(now);
-        for (service, headroom) in &self.headroom {
-            let of_service = snapshot
-                .candidates()
-                .iter()
-                .filter(|candidate| &candidate.entry.service == service);
-            let (mut capacity, mut free) = (job::Resources::default(), job::Resources::default());
-            for candidate in of_service {
-                capacity = capacity.plus(&candidate.entry.capacity);
-                free = free.plus(&candidate.free);
-            }
-            if !is_mostly_free(&capacity, &free) {
-                let kept = headroom.accelerators_to_keep(capacity.accelerators);
-                snapshot.keep_for_urgent(service, kept);
-            }
-        }
+        self.keep_servers_for_urgent(&mut snapshot);
         let mut round = PlacementRound {
             guaranteed_accounts: self.guaranteed_accounts(),
             preemptible: None,
@@ -161,6 +140,36 @@
         }
     }
 
+    /// Records the accelerators that urgent jobs use or wait for, by service.
+    fn update_headroom(&mut self, ready_jobs: &[ReadyJob], now: Now) {
+        let mut urgent = self.urgent_accelerators(ready_jobs);
+        for service in urgent.keys() {
+            self.headroom.entry(service.clone()).or_default();
+        }
+        for (service, headroom) in &mut self.headroom {
+            headroom.update(now.ms, urgent.remove(service).unwrap_or(0));
+        }
+    }
+
+    /// Keeps servers of each service for its urgent work, unless the service is mostly free.
+    fn keep_servers_for_urgent(&self, snapshot: &mut CapacitySnapshot) {
+        for (service, headroom) in &self.headroom {
+            let of_service = snapshot
+                .candidates()
+                .iter()
+                .filter(|candidate| &candidate.entry.service == service);
+            let (mut capacity, mut free) = (job::Resources::default(), job::Resources::default());
+            for candidate in of_service {
+                capacity = capacity.plus(&candidate.entry.capacity);
+                free = free.plus(&candidate.free);
+            }
+            if !is_mostly_free(&capacity, &free) {
+                let kept = headroom.accelerators_to_keep(capacity.accelerators);
+                snapshot.keep_for_urgent(service, kept);
+            }
+        }
+    }
+
     fn place_job(&mut self, ready_job: &ReadyJob, round: &mut PlacementRound, now: Now) {
         // All units of a step have the same needs, so if one isn't started, the others of the step
         // wait for the next decision.
