--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -31,10 +31,12 @@
 /// Delay before retrying a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Seconds after which a caller may retry when the store can't be reached: the least, and the number
-/// of different values. Callers are spread over them by the id of their job, so that they don't all
-/// return at once.
-const STORE_RETRY_AFTER_S: (u64, u64) = (2, 3);
+/// Least number of seconds after which a caller may retry when the store can't be reached.
+const STORE_RETRY_AFTER_MIN_S: u64 = 2;
+
+/// Number of different delays, a second apart, over which callers are spread by the id of their job,
+/// so that they don't all return at once.
+const STORE_RETRY_DELAYS: u64 = 3;
 
 /// Age from which the scheduler's published number of waiting jobs is ignored, and the jobs in the
 /// store are counted instead.
@@ -72,11 +74,10 @@
 }
 
 fn store_unavailable(job: Option<&id::JobId>, error: &PlatformError) -> Reply {
-    let (least_s, values) = STORE_RETRY_AFTER_S;
     let id_sum: u64 = job.map_or(0, |id| id.as_str().bytes().map(u64::from).sum());
     Reply::Unavailable {
         reason: format!("the store can't be reached: {error}"),
-        retry_after_s: least_s + id_sum % values,
+        retry_after_s: STORE_RETRY_AFTER_MIN_S + id_sum % STORE_RETRY_DELAYS,
     }
 }
 
--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -258,7 +258,7 @@
 
 /// The clocks of the hosts differ and may jump; a job must not count as old for that.
 #[test]
-fn test_scheduler_takes_the_age_of_a_job_from_the_clock_of_the_store() {
+fn test_accepted_job_takes_its_age_from_the_clock_of_the_store() {
     let fixture = Fixture::new();
     let id = id::JobId::new("00000000000000c1").unwrap();
     fixture.put_job(&id);
