host: log how runs and servers are lost

Hypotheses of the incident differ in whether a crash is recognised, and the logs could not tell: a crash, a cut and a server that left all ended in `gone or lapsed`. No change of logic.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -172,12 +172,16 @@
             }
             | Event::Stopping {
                 job, task: index, ..
+            }
+            | Event::RunLost {
+                job, task: index, ..
             } => job == &task.job && index == &task.index,
             Event::State { job, .. }
             | Event::RestartDelayed { job, .. }
             | Event::StopRefused { job, .. }
             | Event::WaitsForProven { job, .. } => job == &task.job,
             Event::Server { .. }
+            | Event::AddressReused { .. }
             | Event::Interference(_)
             | Event::Pace { .. }
             | Event::Reach { .. }
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -48,6 +48,28 @@
         } => spdlog::info!("backend server", kv: {
             server = server.as_str(), belief = *belief, runs = *runs, epoch = epoch.0
         }),
+        Event::AddressReused {
+            server,
+            by,
+            runs,
+            silent_ms,
+        } => spdlog::info!("address reused", kv: {
+            server = server.as_str(), by = by.as_str(), runs = *runs, silent_ms = *silent_ms,
+            epoch = epoch.0
+        }),
+        Event::RunLost {
+            job,
+            task,
+            run,
+            server,
+            age_ms,
+            has_begun,
+            neighbours,
+        } => spdlog::info!("run lost", kv: {
+            job = job.as_str(), task = format_task_index(*task).as_str(), run = run.0,
+            server = server.as_str(), age_ms = *age_ms, has_begun = *has_begun,
+            neighbours = *neighbours, epoch = epoch.0
+        }),
         Event::Evacuation {
             zone,
             state,
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -294,6 +294,11 @@
             Event::Placed { .. } => ("placed", ""),
             Event::Ended { how, .. } => ("ended", *how),
             Event::Stopping { reason, .. } => ("stopping", *reason),
+            Event::RunLost {
+                has_begun: true, ..
+            } => ("lost", "begun"),
+            Event::RunLost { .. } => ("lost", "not confirmed"),
+            Event::AddressReused { .. } => ("server", "address reused"),
             Event::Evacuation { state, .. } => return self.record_evacuation(state),
             Event::StartPause {
                 is_paused: true, ..
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -194,6 +194,7 @@
                         belief: "registered",
                         runs: 0,
                     });
+                    self.report_reused_address(&entry, now);
                     let since_ms = self.unregistered.remove(&entry.id).unwrap_or(now.ms);
                     let mut server = server::Server::new(entry.clone(), since_ms);
                     if !is_first_registry {
@@ -219,6 +220,21 @@
         }
     }
 
+    fn report_reused_address(&mut self, entry: &fleet::ServerEntry, now: Now) {
+        let at_address = |server: &&server::Server| server.entry.address == entry.address;
+        let events = self.servers.values().filter(at_address).map(|server| {
+            let id = &server.entry.id;
+            let last_reply_ms = server.last_reply_ms.unwrap_or(server.known_since_ms);
+            Event::AddressReused {
+                server: id.clone(),
+                by: entry.id.clone(),
+                runs: self.runs_by_server.get(id).map_or(0, BTreeSet::len),
+                silent_ms: now.ms.saturating_sub(last_reply_ms),
+            }
+        });
+        self.events.extend(events);
+    }
+
     /// Backend servers that have to be sent holds; each needs its own hold loop.
     pub fn servers(&self) -> impl Iterator<Item = &server::Server> {
         self.servers.values()
@@ -505,6 +521,7 @@
                         since_ms: now.ms,
                         retry_ms: None,
                     };
+                    live.start_sent_ms = Some(now.ms);
                     Some(*index)
                 }
                 _ => None,
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -73,6 +73,35 @@
         /// Number of runs on the server that this affects.
         runs: usize,
     },
+    /// The registry lists another backend server at the address of a known one.
+    AddressReused {
+        /// The server that was known at the address.
+        server: id::BackendServerId,
+        /// The server that is registered there now.
+        by: id::BackendServerId,
+        /// Number of runs that may exist on the earlier server.
+        runs: usize,
+        /// Time since the last reply of the earlier server, in milliseconds.
+        silent_ms: u64,
+    },
+    /// A run has gone with no report of its end.
+    RunLost {
+        /// The job.
+        job: id::JobId,
+        /// The task.
+        task: job::TaskIndex,
+        /// The run number.
+        run: id::Run,
+        /// The backend server that it was placed on.
+        server: id::BackendServerId,
+        /// Time from its first start order to the last reply of the server, in milliseconds; zero
+        /// if the server has not replied since.
+        age_ms: u64,
+        /// Whether the server has confirmed the start.
+        has_begun: bool,
+        /// Number of other runs that may have existed on the server.
+        neighbours: usize,
+    },
     /// A request to evacuate a zone was seen or has been removed.
     Evacuation {
         /// The zone.
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -228,6 +228,7 @@
 
     /// Removes a run that is gone though no end of it was reported.
     pub(crate) fn remove_lost_run(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
+        self.report_lost_run(id, index);
         let is_done = |job: &OpenJob| job.progress.task_state(index) == TaskState::Done;
         match self.jobs.get(id).is_some_and(is_done) {
             true => self.remove_run(id, index),
@@ -236,6 +237,25 @@
         self.remove_if_ended(id);
     }
 
+    fn report_lost_run(&mut self, id: &id::JobId, index: job::TaskIndex) {
+        let Some(live) = self.jobs.get(id).and_then(|job| job.runs.get(&index)) else {
+            return;
+        };
+        let server = self.servers.get(&live.server);
+        let last_reply_ms = server.and_then(|server| server.last_reply_ms);
+        let runs = self.runs_by_server.get(&live.server);
+        let ages = last_reply_ms.zip(live.start_sent_ms);
+        self.events.push(Event::RunLost {
+            job: id.clone(),
+            task: index,
+            run: live.run,
+            server: live.server.clone(),
+            age_ms: ages.map_or(0, |(reply_ms, sent_ms)| reply_ms.saturating_sub(sent_ms)),
+            has_begun: live.is_confirmed,
+            neighbours: runs.map_or(0, BTreeSet::len).saturating_sub(1),
+        });
+    }
+
     fn push_end_event(&mut self, id: &id::JobId, index: job::TaskIndex, how: &'static str) {
         let Some(job) = self.jobs.get(id) else {
             return;
@@ -275,6 +295,7 @@
                 }
                 continue;
             };
+            live.is_confirmed = true;
             live.is_available = entry.percent >= COMPLETE_PERCENT;
             if entry.percent > live.percent {
                 live.percent = entry.percent;
--- a/lib/jobs/src/live_run.rs
+++ b/lib/jobs/src/live_run.rs
@@ -60,6 +60,10 @@
     pub is_resumed: bool,
     /// Whether a previous scheduler has placed the run.
     pub is_restored: bool,
+    /// When the first start order was due to be sent; `None` before, and for a restored run.
+    pub start_sent_ms: Option<u64>,
+    /// Whether a server has shown the run to this scheduler.
+    pub is_confirmed: bool,
     /// When the run became present, or was restored.
     pub first_present_ms: Option<u64>,
     /// When the run became present; `None` before, and for a run that resumes from a checkpoint or
@@ -89,6 +93,8 @@
             last_progress_ms: 0,
             is_resumed: false,
             is_restored: false,
+            start_sent_ms: None,
+            is_confirmed: false,
             first_present_ms: None,
             present_since_ms: None,
             speed_sampled_ms: 0,
@@ -116,6 +122,7 @@
     /// Records that the run is present on its server.
     pub fn mark_present(&mut self, now_ms: u64) {
         self.phase = RunPhase::Present { since_ms: now_ms };
+        self.is_confirmed = true;
         self.last_progress_ms = now_ms;
         self.speed_sampled_ms = now_ms;
         self.first_present_ms.get_or_insert(now_ms);
