--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -2,6 +2,7 @@
 //! simulated time without I/O.
 
 pub mod advice;
+pub mod crashes;
 pub mod load;
 mod orders;
 pub mod report;
@@ -69,14 +70,18 @@
     pub always_fails: bool,
     /// Whether tasks that have reached 100 percent run on.
     pub stays: bool,
+    /// Ranks of the tasks that crash their servers, and when.
+    pub deadly: BTreeMap<u32, crashes::CrashTrigger>,
 }
 
 /// A simulated backend server.
 pub struct ModelServer {
     /// Entry of the server in the registry.
     pub entry: fleet::ServerEntry,
-    /// Incremented with each crash.
+    /// Rises with each crash.
     pub incarnation: u64,
+    /// Whether a process listens at the address.
+    pub life: crashes::Life,
     /// Whether the scheduler can't reach the server. Its runs continue.
     pub is_unreachable: bool,
     /// Whether every run fails at once.
@@ -98,6 +103,33 @@
     lease_until_ms: u64,
 }
 
+impl ModelServer {
+    /// Creates a server that runs nothing.
+    pub fn new(entry: fleet::ServerEntry) -> Self {
+        Self {
+            entry,
+            incarnation: 1,
+            life: crashes::Life::Up,
+            is_unreachable: false,
+            fails_all: false,
+            hangs: false,
+            loses_start_replies: false,
+            highest_epoch: 0,
+            highest_ended_runs: BTreeMap::new(),
+            speed_ratio: 1.0,
+            running: BTreeMap::new(),
+            unacknowledged_ends: Vec::new(),
+            next_end_number: 1,
+            lease_until_ms: 0,
+        }
+    }
+
+    /// Whether the scheduler reaches a process at the address.
+    pub fn is_reached(&self) -> bool {
+        !self.is_unreachable && !matches!(self.life, crashes::Life::Down { .. })
+    }
+}
+
 /// One run of a task, as observed on the servers.
 #[derive(Clone, Debug)]
 pub struct RunRecord {
@@ -160,6 +192,8 @@
     pub run_records: Vec<RunRecord>,
     /// Whether the store accepts no writes.
     pub is_store_unavailable: bool,
+    /// Crashes of servers that came back as others.
+    pub crash_records: Vec<crashes::CrashRecord>,
     /// Zones that operators have asked to evacuate.
     pub evacuated_zones: BTreeSet<id::ZoneName>,
     /// Whether the scheduler can't read the operators' requests. It can't either while the store is
@@ -299,6 +333,7 @@
             stored: BTreeMap::new(),
             run_records: Vec::new(),
             is_store_unavailable: false,
+            crash_records: Vec::new(),
             evacuated_zones: BTreeSet::new(),
             is_operator_feed_lost: false,
             adviser: None,
@@ -338,7 +373,7 @@
         let entry = fleet::ServerEntry {
             id: id::BackendServerId::new(name).unwrap(),
             service: id::ServiceName::new(SERVICE).unwrap(),
-            address: ([127, 0, 0, 1], 1).into(),
+            address: ([127, 0, 0, 1], 1 + self.servers.len() as u16).into(),
             zone: id::ZoneName::new("z").unwrap(),
             is_draining: false,
             cold_ms: 0,
@@ -349,21 +384,7 @@
             },
             labels: vec!["kind".into(), rack.into()],
         };
-        let server = ModelServer {
-            entry,
-            incarnation: 1,
-            is_unreachable: false,
-            fails_all: false,
-            hangs: false,
-            loses_start_replies: false,
-            highest_epoch: 0,
-            highest_ended_runs: BTreeMap::new(),
-            speed_ratio: 1.0,
-            running: BTreeMap::new(),
-            unacknowledged_ends: Vec::new(),
-            next_end_number: 1,
-            lease_until_ms: 0,
-        };
+        let server = ModelServer::new(entry);
         self.servers.insert(name.to_owned(), server);
     }
 
@@ -380,7 +401,7 @@
         let reachable = self
             .servers
             .values()
-            .filter(|server| !server.is_unreachable);
+            .filter(|server| !server.is_unreachable && server.life == crashes::Life::Up);
         let entries = reachable.map(|server| server.entry.clone()).collect();
         let now = self.now();
         self.engine.set_servers(entries, now);
@@ -547,6 +568,7 @@
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
             self.advance_runs();
+            self.advance_lives();
             self.start_delayed();
             if self.sends_holds && self.now_ms.is_multiple_of(self.hold_interval_ms) {
                 self.send_holds();
@@ -607,11 +629,15 @@
                 continue;
             };
             let server = self.servers.get_mut(&name).unwrap();
-            if server.is_unreachable {
+            if !server.is_reached() {
                 self.engine.hold_unanswered(&id);
                 self.engine.order_unanswered(&id, now.ms, now);
                 continue;
             }
+            if server.life == crashes::Life::Replaced {
+                self.engine.hold_unanswered(&id);
+                continue;
+            }
             for end in &server.unacknowledged_ends {
                 let is_same_run = |record: &&mut RunRecord| {
                     record.name == end.name
--- a/lib/fleet-model/src/orders.rs
+++ b/lib/fleet-model/src/orders.rs
@@ -10,6 +10,7 @@
 use camphorbeam_model::job;
 use rand::Rng as _;
 
+use crate::crashes::Life;
 use crate::{ModelServer, Run, RunRecord, Simulation, RESTORE_MS};
 
 /// Time between a stop order and the end of the run.
@@ -53,11 +54,12 @@
                 }
                 Order::Stop(server_name, name) => {
                     let server = self.servers.get_mut(server_name.as_str()).unwrap();
-                    let outcome = match server.is_unreachable {
-                        true => StopOutcome::Unknown {
+                    let outcome = match server.life {
+                        _ if !server.is_reached() => StopOutcome::Unknown {
                             reason: "cut".to_owned(),
                         },
-                        false => {
+                        Life::Replaced => StopOutcome::OtherServer,
+                        _ => {
                             let highest_ended = server
                                 .highest_ended_runs
                                 .entry(name.task.clone())
@@ -80,7 +82,7 @@
     fn start_or_delay(&mut self, server_name: &str, start: &StartOrder) -> StartOutcome {
         if !self.random.random_bool(self.delayed_start_ratio) {
             let server = self.servers.get_mut(server_name).unwrap();
-            if !server.is_unreachable {
+            if server.is_reached() && server.life == Life::Up {
                 let lease_until_ms = start.lease_until_server_ms;
                 server.lease_until_ms = server.lease_until_ms.max(lease_until_ms);
                 server.highest_epoch = server.highest_epoch.max(self.epoch);
@@ -137,11 +139,14 @@
                 sum.plus(&self.need(run))
             });
         let server = self.servers.get_mut(server_name).unwrap();
-        if server.is_unreachable {
+        if !server.is_reached() {
             return StartOutcome::Unknown {
                 reason: "cut".to_owned(),
             };
         }
+        if server.life == Life::Replaced {
+            return StartOutcome::Refused(StartRefusal::OtherServer);
+        }
         let ended = server.highest_ended_runs.get(&name.task);
         if ended.is_some_and(|ended| *ended >= name.run) {
             return StartOutcome::Refused(StartRefusal::Outdated);
