jobs: free the runs of a server as soon as another one replies for it

Callers saw the tasks of a crashed server stand still for about 8 s although the server was back after 3 s. A crash was handled like a cut: the runs counted as lost only when the longest lease had expired. The refusal of a hold by another server at the address is proof that the first one has ended, and was ignored.

The runs of a server that another one has replaced are removed at once, and it gets no new work. test_crashes_replaced_server_has_its_tasks_rerun_at_once failed before and passes.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -636,6 +636,8 @@
             }
             if server.life == crashes::Life::Replaced {
                 self.engine.hold_unanswered(&id);
+                let address = server.entry.address;
+                self.engine.server_replaced(&id, address, now);
                 continue;
             }
             for end in &server.unacknowledged_ends {
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -520,7 +520,6 @@
     /// stops. A hold order renews the server's lease; its reply reports the server's runs. Pauses
     /// while the scheduler lease has been expired for longer than the renewal grace.
     async fn renew_server_lease(self: Arc<Self>, server: id::BackendServerId) {
-        let mut is_misdirected = false;
         while !self.is_stopped() {
             let renewal_grace = Duration::from_millis(self.deps.settings.renewal_grace_ms);
             if self.since_scheduler_lease_renewal() > self.lease_duration + renewal_grace {
@@ -546,17 +545,18 @@
                     self.stop();
                 }
                 orders::HoldOutcome::OtherServer | orders::HoldOutcome::Unknown { .. } => {
-                    if outcome == orders::HoldOutcome::OtherServer && !is_misdirected {
-                        is_misdirected = true;
-                        spdlog::info!("another server replies at the address", kv: {
-                            server = server.as_str(), epoch = self.epoch.0
-                        });
-                    }
-                    self.lock().hold_unanswered(&server);
-                    if let orders::HoldOutcome::Unknown { .. } = outcome {
-                        let now = self.now();
-                        self.lock().order_unanswered(&server, sent_at.ms, now);
+                    let now = self.now();
+                    {
+                        let mut engine = self.lock();
+                        engine.hold_unanswered(&server);
+                        match outcome {
+                            orders::HoldOutcome::OtherServer => {
+                                engine.server_replaced(&server, target.address, now);
+                            }
+                            _ => engine.order_unanswered(&server, sent_at.ms, now),
+                        }
                     }
+                    self.decide_wakeup.wake();
                     self.deps.clock.sleep(SERVER_LEASE_RETRY_DELAY).await;
                 }
             }
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -386,11 +386,12 @@
     }
 
     /// The next hold to send to a server. Returns `None` and drops the server if the registry no
-    /// longer lists it, its lease has expired and no run can be left on it.
+    /// longer lists it, its lease has expired or it was replaced, and no run can be left on it.
     pub fn next_hold(&mut self, id: &id::BackendServerId, now: Now) -> Option<HoldOrder> {
         let settings = self.settings;
         let server = self.servers.get_mut(id)?;
-        let is_gone = !server.is_registered && now.ms > server.lease_expiry_ms(&settings);
+        let has_ended = server.is_replaced || now.ms > server.lease_expiry_ms(&settings);
+        let is_gone = !server.is_registered && has_ended;
         // A run may need no resources that count.
         let is_empty = self.runs_by_server.get(id).is_none_or(BTreeSet::is_empty);
         if is_gone && is_empty {
@@ -463,6 +464,7 @@
                 at_ms: now.ms,
             });
             server.last_reply_ms = Some(now.ms);
+            server.is_replaced = false;
             server.is_incarnation_confirmed = true;
         }
         self.reachability.end_hold(id);
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -67,8 +67,9 @@
     Server {
         /// The backend server.
         server: id::BackendServerId,
-        /// The new view: `registered`, `draining`, `started anew` (after a restart), or `gone or
-        /// lapsed` (its leases have expired without a reply).
+        /// The new view: `registered`, `draining`, `started anew` (after a restart), `replaced`
+        /// (another server replies at its address), or `gone or lapsed` (its leases have expired
+        /// without a reply).
         belief: &'static str,
         /// Number of runs on the server that this affects.
         runs: usize,
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod reachability;
 mod restarts;
 pub mod server;
+mod server_loss;
 pub mod settings;
 pub mod soundness;
 pub mod speeds;
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -35,6 +35,8 @@
     pub entry: Arc<fleet::ServerEntry>,
     /// Whether the registry still lists the server.
     pub is_registered: bool,
+    /// Whether another server has replied at its address, and this one not since.
+    pub is_replaced: bool,
     /// Current incarnation of the server; `None` until the first reply to a hold.
     pub incarnation: Option<fleet::Incarnation>,
     /// Latest reading of the server's clock; `None` until the first reply to a hold.
@@ -81,6 +83,7 @@
         Self {
             entry: Arc::new(entry),
             is_registered: true,
+            is_replaced: false,
             incarnation: None,
             clock: None,
             last_reply_ms: None,
@@ -104,13 +107,14 @@
         self.entry.capacity.minus(&self.used)
     }
 
-    /// Whether the server can take new work: it is registered, isn't draining, replies to holds,
-    /// and doesn't count as full (`full_until_ms`).
+    /// Whether the server can take new work: it is registered, isn't draining, hasn't been replaced,
+    /// replies to holds, and doesn't count as full (`full_until_ms`).
     pub fn is_usable(&self, now_ms: u64) -> bool {
         let is_responsive = self
             .last_reply_ms
             .is_some_and(|last_reply_ms| now_ms < last_reply_ms + SILENCE_MAX_MS);
         self.is_registered
+            && !self.is_replaced
             && !self.entry.is_draining
             && is_responsive
             && now_ms >= self.full_until_ms
