jobs: count the crashes of servers under a task, and give up deadly ones

Callers saw one job crash server after server, each with the runs of its neighbours, for as long as it existed. Cause: only ends that a server reports count against a task; a run that goes away with its server was placed again like one that had been stopped, without limit and beside other work. The loss of a server was a fact about the server only.

A loss now leaves an entry for each task that was there, with how likely the task is to be the cause; entries are stored with the job. Suspected tasks get servers on which nothing else has just begun, and are given up at three crashes that point to them, or at five in any case. Neighbours are cleared once the cause is found.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -175,6 +175,12 @@
             }
             | Event::RunLost {
                 job, task: index, ..
+            }
+            | Event::Crash {
+                job, task: index, ..
+            }
+            | Event::GivenUp {
+                job, task: index, ..
             } => job == &task.job && index == &task.index,
             Event::State { job, .. }
             | Event::RestartDelayed { job, .. }
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -70,6 +70,23 @@
             server = server.as_str(), age_ms = *age_ms, has_begun = *has_begun,
             neighbours = *neighbours, epoch = epoch.0
         }),
+        Event::Crash {
+            job,
+            task,
+            server,
+            blame,
+            is_proven,
+            has_begun,
+            crashes,
+        } => spdlog::info!("server lost under a task", kv: {
+            job = job.as_str(), task = format_task_index(*task).as_str(),
+            server = server.as_str(), blame = *blame, is_proven = *is_proven,
+            has_begun = *has_begun, crashes = *crashes, epoch = epoch.0
+        }),
+        Event::GivenUp { job, task, crashes } => spdlog::warn!("job given up", kv: {
+            job = job.as_str(), task = format_task_index(*task).as_str(), crashes = *crashes,
+            epoch = epoch.0
+        }),
         Event::Evacuation {
             zone,
             state,
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -298,6 +298,8 @@
                 has_begun: true, ..
             } => ("lost", "begun"),
             Event::RunLost { .. } => ("lost", "not confirmed"),
+            Event::Crash { blame, .. } => ("server lost", *blame),
+            Event::GivenUp { .. } => ("given up", "crashes"),
             Event::AddressReused { .. } => ("server", "address reused"),
             Event::Evacuation { state, .. } => return self.record_evacuation(state),
             Event::StartPause {
--- /dev/null
+++ b/lib/jobs/src/crashes.rs
@@ -0,0 +1,423 @@
+//! Tasks that crash the backend servers that start them: records which tasks ran on a server that
+//! was lost, keeps the suspected ones apart from other work, and gives up those that several
+//! crashes point to. See docs/design/crashes.md.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use camphorbeam_model::{id, job};
+
+use crate::crash_evidence::{Blame, CrashEntry, Evidence, Isolation, ServerLife};
+use crate::engine::{Engine, Now};
+use crate::event::Event;
+use crate::live_run::RunPhase;
+use crate::open_job::{OpenJob, PlacementUnit};
+use crate::progress::JobState;
+use crate::server::Server;
+
+/// A start explains the loss of its server if the server hasn't replied for this long after it.
+const RECENT_START_MS: u64 = 1_000;
+
+/// How long a suspected run has to last before other work may start on its server.
+const PROBATION_MS: u64 = 2_000;
+
+/// How long a server runs nothing else beside a run in [`Isolation::Exclusive`]. A long-running
+/// task that has lasted for so long isn't blamed for a crash.
+const EXCLUSIVE_MS: u64 = 30_000;
+
+/// How long after a loss a task avoids the machine.
+const MACHINE_AVOIDANCE_MS: u64 = 20_000;
+
+/// The same, for a task that may have few other machines to choose from.
+const ONLY_MACHINE_AVOIDANCE_MS: u64 = 5_000;
+
+/// Number of servers of a service below which its tasks have few machines to choose from.
+const FEW_SERVERS: usize = 8;
+
+/// How long after a loss a task waits for a server on which nothing else has just been started.
+const QUIET_SERVER_WAIT_MS: u64 = 10_000;
+
+/// How long after a loss a task that needs a server of its own waits for one without any run.
+const EMPTY_SERVER_WAIT_MS: u64 = 2_000;
+
+/// How long a crash counts against the machine, unless a given up task explains it, and against
+/// the fleet if no task explains it.
+const DOUBT_MS: u64 = 60_000;
+
+/// A crash that no given up task explains.
+#[derive(Clone, Debug)]
+struct UnexplainedCrash {
+    at_ms: u64,
+    server: id::BackendServerId,
+    jobs: BTreeSet<id::JobId>,
+}
+
+/// Crashes by address, and the suspected tasks that run.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Crashes {
+    unexplained: BTreeMap<SocketAddr, Vec<UnexplainedCrash>>,
+    /// Runs of suspected tasks, by server.
+    watched: BTreeMap<id::BackendServerId, BTreeSet<(id::JobId, job::TaskIndex)>>,
+    /// Until when servers of the fleet count as crashing by themselves.
+    spontaneous_until_ms: u64,
+}
+
+impl Crashes {
+    /// Whether the machine at `address` has crashed lately without a task that explains it.
+    pub fn is_doubtful(&self, address: &SocketAddr) -> bool {
+        self.unexplained.contains_key(address)
+    }
+
+    /// Drops crashes that no longer count.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.unexplained.retain(|_, crashes| {
+            crashes.retain(|crash| now_ms < crash.at_ms + DOUBT_MS);
+            !crashes.is_empty()
+        });
+    }
+
+    /// Records that servers may crash by themselves: one has, or it isn't known whether one has.
+    pub fn note_spontaneous(&mut self, now_ms: u64) {
+        self.spontaneous_until_ms = now_ms + DOUBT_MS;
+    }
+
+    /// Whether a crash at `address` repeats one that tasks of other jobs only were part of.
+    fn is_repeated(&self, address: &SocketAddr, jobs: &BTreeSet<id::JobId>) -> bool {
+        let crashes = self.unexplained.get(address).into_iter().flatten();
+        let mut others = crashes.filter(|crash| crash.jobs.is_disjoint(jobs));
+        others.next().is_some()
+    }
+
+    /// Removes the crashes of `servers`, which a given up task explains.
+    fn explain(&mut self, servers: &BTreeSet<id::BackendServerId>) {
+        self.unexplained.retain(|_, crashes| {
+            crashes.retain(|crash| !servers.contains(&crash.server));
+            !crashes.is_empty()
+        });
+    }
+
+    pub fn unwatch(&mut self, server: &id::BackendServerId, run: &(id::JobId, job::TaskIndex)) {
+        if let Some(runs) = self.watched.get_mut(server) {
+            runs.remove(run);
+            if runs.is_empty() {
+                self.watched.remove(server);
+            }
+        }
+    }
+}
+
+/// A run on a server that was lost.
+struct LostRun {
+    job: id::JobId,
+    task: job::TaskIndex,
+    run: id::Run,
+    /// Whether the server may not have replied for long enough after the start.
+    is_recent: bool,
+    /// Whether the task was on another machine that was lost.
+    is_known: bool,
+    /// Whether the task was on the same machine when it was lost before.
+    is_same_machine: bool,
+    has_begun: bool,
+}
+
+/// The jobs that explain the loss of a server best.
+///
+/// A task that crashes servers mostly does so as it begins, and has been on another server that was
+/// lost. Without a task of either kind the server itself is the likely cause.
+/// While servers crash by themselves, a task that has been there for longer explains nothing.
+fn best_explanations(runs: &[LostRun], are_spontaneous: bool) -> Vec<&LostRun> {
+    let select = |is_selected: fn(&LostRun) -> bool| -> Vec<&LostRun> {
+        let others = runs.iter().filter(|run| !run.is_same_machine);
+        others.filter(|run| is_selected(run)).collect()
+    };
+    let choices = [
+        select(|run| run.is_recent && run.is_known),
+        select(|run| run.is_recent),
+        match are_spontaneous {
+            true => Vec::new(),
+            false => select(|run| run.is_known),
+        },
+    ];
+    let mut choices = choices.into_iter();
+    choices
+        .find(|selected| !selected.is_empty())
+        .unwrap_or_default()
+}
+
+impl Engine {
+    /// Records the loss of a server for the tasks with a run there, before these runs are removed.
+    /// With `is_proven` the server is known to have crashed; otherwise it may be out of reach.
+    /// `survivors` are runs that exist all the same. A server that was about to leave is no
+    /// evidence.
+    pub(crate) fn record_server_loss(
+        &mut self,
+        id: &id::BackendServerId,
+        life: Option<ServerLife>,
+        is_proven: bool,
+        survivors: &BTreeSet<(&id::JobId, job::TaskIndex, id::Run)>,
+        now: Now,
+    ) {
+        let server = self.servers.get(id);
+        let is_leaving = server.is_some_and(|server| {
+            server.entry.is_draining || self.is_closed_for_maintenance(server)
+        });
+        if is_leaving {
+            return;
+        }
+        let last_reply_ms = server.and_then(|server| server.last_reply_ms);
+        let runs: Vec<LostRun> = self
+            .runs_on(id)
+            .into_iter()
+            .filter_map(|(job, task)| self.lost_run(job, task, life, last_reply_ms, now))
+            .filter(|lost| !survivors.contains(&(&lost.job, lost.task, lost.run)))
+            .collect();
+        let are_spontaneous = now.ms < self.crashes.spontaneous_until_ms;
+        let explanations = best_explanations(&runs, are_spontaneous);
+        if explanations.is_empty() && is_proven {
+            self.crashes.note_spontaneous(now.ms);
+        }
+        let jobs: BTreeSet<id::JobId> = explanations.iter().map(|lost| lost.job.clone()).collect();
+        let is_repeated = life.is_some_and(|life| self.crashes.is_repeated(&life.address, &jobs));
+        let blame_of = |lost: &LostRun| match jobs.len() {
+            _ if is_repeated => Blame::Bystander,
+            _ if !explanations.iter().any(|best| std::ptr::eq(*best, lost)) => Blame::Bystander,
+            1 => Blame::Sole,
+            _ => Blame::Shared,
+        };
+        let blames: Vec<Blame> = runs.iter().map(blame_of).collect();
+        if let (Some(life), true) = (life, is_proven) {
+            let of_address = self.crashes.unexplained.entry(life.address).or_default();
+            of_address.push(UnexplainedCrash {
+                at_ms: now.ms,
+                server: id.clone(),
+                jobs,
+            });
+        }
+        for (lost, blame) in runs.iter().zip(blames) {
+            let Some(job) = self.jobs.get_mut(&lost.job) else {
+                continue;
+            };
+            let entry = CrashEntry {
+                life,
+                is_proven,
+                has_begun: lost.has_begun,
+                ..CrashEntry::new(lost.task, lost.run, id.clone(), blame, now.unix_ms)
+            };
+            job.progress.crashes.push(entry);
+            job.mark_changed();
+            let evidence = Evidence::of(&job.progress.crashes, lost.task);
+            self.events.push(Event::Crash {
+                job: lost.job.clone(),
+                task: lost.task,
+                server: id.clone(),
+                blame: blame.name(),
+                is_proven,
+                has_begun: lost.has_begun,
+                crashes: evidence.crashes(),
+            });
+        }
+        for lost in &runs {
+            self.give_up_if_deadly(&lost.job, lost.task, now);
+        }
+    }
+
+    fn lost_run(
+        &self,
+        id: id::JobId,
+        task: job::TaskIndex,
+        life: Option<ServerLife>,
+        last_reply_ms: Option<u64>,
+        now: Now,
+    ) -> Option<LostRun> {
+        let job = self.jobs.get(&id)?;
+        let live = job.runs.get(&task)?;
+        let is_proven_long = job.step(task).is_long_running
+            && live
+                .first_present_ms
+                .is_some_and(|since_ms| now.ms >= since_ms + EXCLUSIVE_MS);
+        let is_sent = !matches!(live.phase, RunPhase::AwaitingWrite { .. });
+        if job.progress.state.is_final() || !is_sent || is_proven_long {
+            return None;
+        }
+        let is_recent = live
+            .start_sent_ms
+            .is_some_and(|sent_ms| sent_ms + RECENT_START_MS > last_reply_ms.unwrap_or(0));
+        let evidence = Evidence::of(&job.progress.crashes, task);
+        let address = life.map(|life| life.address);
+        let is_same =
+            |entry: &&CrashEntry| entry.life.is_some_and(|life| Some(life.address) == address);
+        let is_same_machine = evidence.entries().iter().any(is_same);
+        Some(LostRun {
+            task,
+            run: live.run,
+            is_recent,
+            is_known: !evidence.entries().is_empty(),
+            is_same_machine,
+            has_begun: live.is_confirmed,
+            job: id,
+        })
+    }
+
+    /// Ends the job of a task that has crashed several servers.
+    fn give_up_if_deadly(&mut self, id: &id::JobId, task: job::TaskIndex, now: Now) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let evidence = Evidence::of(&job.progress.crashes, task);
+        if job.progress.state.is_final() || !evidence.is_deadly() {
+            return;
+        }
+        let crashes = evidence.entries().iter().filter(|entry| entry.is_proven);
+        let mut reason = format!(
+            "given up: the backend servers that ran task {}.{}.{} have crashed (",
+            task.occurrence, task.step, task.rank
+        );
+        for (number, entry) in crashes.enumerate() {
+            let separator = if number > 0 { ", " } else { "" };
+            // Writing to a string can't fail.
+            let _ = write!(reason, "{separator}{} in run {}", entry.server, entry.run.0);
+        }
+        reason.push(')');
+        let caused = evidence.entries().iter();
+        let caused = caused.filter(|entry| entry.blame != Blame::Bystander);
+        let servers: BTreeSet<_> = caused.map(|entry| entry.server.clone()).collect();
+        self.events.push(Event::GivenUp {
+            job: id.clone(),
+            task,
+            crashes: evidence.crashes(),
+        });
+        job.progress.failure = Some(reason.into());
+        self.end_job(id, JobState::Failed, now);
+        self.crashes.explain(&servers);
+        self.clear_neighbours(id, &servers);
+    }
+
+    /// Removes the entries of other jobs for crashes of `servers`, which the job `cause` explains.
+    fn clear_neighbours(&mut self, cause: &id::JobId, servers: &BTreeSet<id::BackendServerId>) {
+        for job in self.jobs.values_mut().filter(|job| &job.id != cause) {
+            let entries = job.progress.crashes.len();
+            let crashes = &mut job.progress.crashes;
+            crashes.retain(|entry| !servers.contains(&entry.server));
+            if crashes.len() < entries {
+                job.mark_changed();
+            }
+        }
+    }
+
+    /// How the next run of a unit is kept apart from other work.
+    pub(crate) fn isolation(&self, id: &id::JobId, unit: PlacementUnit) -> Isolation {
+        let crashes = &self.jobs[id].progress.crashes;
+        let of_member = |task| Evidence::of(crashes, task).isolation();
+        match crashes.is_empty() {
+            true => Isolation::None,
+            false => unit.members().map(of_member).max().unwrap_or_default(),
+        }
+    }
+
+    /// Whether a unit waits because too many losses of its servers are not explained.
+    pub(crate) fn waits_after_losses(&self, id: &id::JobId, unit: PlacementUnit, now: Now) -> bool {
+        let crashes = &self.jobs[id].progress.crashes;
+        !crashes.is_empty()
+            && unit.members().any(|task| {
+                let until_unix_ms = Evidence::of(crashes, task).delayed_until_unix_ms();
+                until_unix_ms.is_some_and(|until_unix_ms| now.unix_ms < until_unix_ms)
+            })
+    }
+
+    /// Adds the servers to `excluded` that a suspected unit may not use: those at the addresses of
+    /// servers that were lost under it, those that crash by themselves, and those on which other
+    /// work has just been started, so that a crash would have two explanations.
+    pub(crate) fn with_unsafe_servers(
+        &self,
+        id: &id::JobId,
+        unit: PlacementUnit,
+        mut excluded: BTreeSet<id::BackendServerId>,
+        now: Now,
+    ) -> BTreeSet<id::BackendServerId> {
+        let isolation = self.isolation(id, unit);
+        if isolation == Isolation::None {
+            return excluded;
+        }
+        let is_of_unit = |entry: &&CrashEntry| unit.members().any(|task| task == entry.task());
+        let entries = self.jobs[id].progress.crashes.iter().filter(is_of_unit);
+        let newest_unix_ms = entries.clone().map(|entry| entry.at_unix_ms).max();
+        let waited_ms = now.unix_ms.saturating_sub(newest_unix_ms.unwrap_or(0));
+        let addresses: BTreeSet<SocketAddr> = entries
+            .filter_map(|entry| Some(entry.life?.address))
+            .collect();
+        let job = &self.jobs[id];
+        let step = job.step(unit.first);
+        let has_few_machines = step.required_label.is_some()
+            || step.data_rack.is_some()
+            || job.accepted.terms.advice.is_some()
+            || self.servers.len() < FEW_SERVERS;
+        let avoidance_ms = match has_few_machines {
+            true => ONLY_MACHINE_AVOIDANCE_MS,
+            false => MACHINE_AVOIDANCE_MS,
+        };
+        let needs_empty = isolation == Isolation::Exclusive && waited_ms < EMPTY_SERVER_WAIT_MS;
+        let is_excluded = |server: &&Server| {
+            let address = &server.entry.address;
+            let runs = self.runs_by_server.get(&server.entry.id);
+            let is_unsafe = addresses.contains(address) || self.crashes.is_doubtful(address);
+            let is_busy = now.ms < server.last_start_ms + RECENT_START_MS;
+            (is_unsafe && waited_ms < avoidance_ms)
+                || (is_busy && waited_ms < QUIET_SERVER_WAIT_MS)
+                || (needs_empty && runs.is_some_and(|runs| !runs.is_empty()))
+        };
+        let servers = self.servers.values().filter(is_excluded);
+        excluded.extend(servers.map(|server| server.entry.id.clone()));
+        excluded
+    }
+
+    /// Keeps a server to a run of a suspected task.
+    pub(crate) fn watch_run(
+        &mut self,
+        server: &id::BackendServerId,
+        id: &id::JobId,
+        task: job::TaskIndex,
+    ) {
+        let watched = self.crashes.watched.entry(server.clone()).or_default();
+        watched.insert((id.clone(), task));
+    }
+
+    /// Whether nothing may be started on a server, because of a suspected run there.
+    pub(crate) fn is_kept_to_suspect(&self, server: &id::BackendServerId, now: Now) -> bool {
+        let runs = self.crashes.watched.get(server).into_iter().flatten();
+        let mut unproven = runs.filter(|(id, task)| {
+            let live = self.jobs.get(id).and_then(|job| job.runs.get(task));
+            live.is_some_and(|live| {
+                let limit_ms = match self.run_isolation(id, *task) {
+                    Isolation::None => 0,
+                    Isolation::Probation => PROBATION_MS,
+                    Isolation::Exclusive => EXCLUSIVE_MS,
+                };
+                let since_ms = live.first_present_ms.filter(|_| live.is_confirmed);
+                since_ms.is_none_or(|since_ms| now.ms < since_ms + limit_ms)
+            })
+        });
+        unproven.next().is_some()
+    }
+
+    fn run_isolation(&self, id: &id::JobId, task: job::TaskIndex) -> Isolation {
+        let unit = self.jobs[id].unit_of(task);
+        self.isolation(id, unit)
+    }
+
+    /// The current life of a server, if its address is known.
+    pub(crate) fn life_of(&self, id: &id::BackendServerId) -> Option<ServerLife> {
+        self.servers.get(id).map(|server| ServerLife {
+            address: server.entry.address,
+            incarnation: server.incarnation,
+        })
+    }
+}
+
+impl OpenJob {
+    /// Removes what is known against a task, which has finished.
+    pub(crate) fn clear_crashes(&mut self, task: job::TaskIndex) {
+        let crashes = &mut self.progress.crashes;
+        crashes.retain(|entry| entry.task() != task);
+    }
+}
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -5,6 +5,7 @@
 
 use camphorbeam_model::{id, job};
 
+use crate::crash_evidence::Isolation;
 use crate::engine::{Engine, Now};
 use crate::event::Event;
 use crate::fair_share;
@@ -59,6 +60,7 @@
         if now.ms >= self.next_scan_ms {
             self.next_scan_ms = now.ms + SCAN_INTERVAL_MS;
             self.update_median_speed();
+            self.crashes.expire(now.ms);
             self.late_starts.retain(|_, until_ms| now.ms < *until_ms);
             self.leave_evacuated_zones(now);
             self.update_reach(now);
@@ -89,7 +91,8 @@
             entry: Arc::clone(&server.entry),
             free: server.free(),
             speed_ratio: self.placement_speed_ratio(server, server.speed_ratio / median, now),
-            is_suspect: self.health.is_suspect(&server.entry.id),
+            is_suspect: self.health.is_suspect(&server.entry.id)
+                || self.crashes.is_doubtful(&server.entry.address),
             is_proven: self.soundness.is_proven(&server.entry.id, now.ms),
         });
         let numbers: Vec<_> = usable().map(|server| server.numbers).collect();
@@ -103,6 +106,7 @@
             && !self.is_evacuated(server)
             && !self.is_closed_for_maintenance(server)
             && self.reachability.is_open(&server.entry.id, now.ms)
+            && !self.is_kept_to_suspect(&server.entry.id, now)
     }
 
     /// Jobs with units that may start, in the order of [`SortKey`].
@@ -255,6 +259,7 @@
                     && self.is_waiting(id, unit)
                     && !self.may_start_late(id, unit)
                     && self.restarts.is_due(id, unit, now.ms)
+                    && !self.waits_after_losses(id, unit, now)
             });
             let startable: Vec<PlacementUnit> = startable.collect();
             let waits = startable
@@ -266,9 +271,11 @@
                 continue;
             }
             // Each avoids servers of its own, while the units of one search share theirs.
-            let (restarted, startable): (Vec<_>, Vec<_>) = startable
-                .into_iter()
-                .partition(|&unit| self.restarts.has_quick_end(id, unit));
+            let (restarted, startable): (Vec<_>, Vec<_>) =
+                startable.into_iter().partition(|&unit| {
+                    self.restarts.has_quick_end(id, unit)
+                        || self.isolation(id, unit) != Isolation::None
+                });
             for unit in restarted {
                 self.place_step(id, &[unit], round, now);
             }
@@ -499,6 +506,7 @@
         let excluded = self
             .restarts
             .with_failed_servers(id, unit, excluded, now.ms);
+        let excluded = self.with_unsafe_servers(id, unit, excluded, now);
         let mut same_step_tasks = BTreeMap::new();
         if step.tasks_per_server_max > 0 {
             for (index, live) in &job.runs {
@@ -548,6 +556,7 @@
         snapshot: &mut CapacitySnapshot,
         now: Now,
     ) {
+        let is_isolated = self.isolation(id, unit) != Isolation::None;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -569,6 +578,7 @@
             task.server = Some(server.clone());
             if let Some(registered) = self.servers.get_mut(&server) {
                 registered.used = registered.used.plus(&need);
+                registered.last_start_ms = now.ms;
             }
             let server_runs = self.runs_by_server.entry(server.clone()).or_default();
             server_runs.insert((id.clone(), index));
@@ -585,6 +595,13 @@
             server: snapshot.candidates()[assignment[0]].entry.id.clone(),
             waited_ms: now.ms.saturating_sub(job.accepted_ms),
         });
+        if is_isolated {
+            for (index, &position) in unit.members().zip(assignment) {
+                let server = snapshot.candidates()[position].entry.id.clone();
+                self.watch_run(&server, id, index);
+                snapshot.close(position);
+            }
+        }
         self.track_placed(id, unit, now);
     }
 }
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -11,8 +11,9 @@
 use crate::preemption::Claims;
 use crate::progress::{JobState, Progress, TaskState};
 use crate::{
-    advice, disruption_budget, evacuation, fair_share, headroom, health, interference, maintenance,
-    open_job, pacing, placement, reachability, restarts, server, settings, soundness, speeds,
+    advice, crashes, disruption_budget, evacuation, fair_share, headroom, health, interference,
+    maintenance, open_job, pacing, placement, reachability, restarts, server, settings, soundness,
+    speeds,
 };
 
 /// Delay until an order that got no usable reply is sent again, counted from when the missing reply
@@ -97,6 +98,7 @@
     pub(crate) speeds: speeds::Speeds,
     pub(crate) pacing: pacing::Pacing,
     pub(crate) restarts: restarts::Restarts,
+    pub(crate) crashes: crashes::Crashes,
     pub(crate) refused_stops: disruption_budget::RefusedStops,
     /// Zones that get no new runs.
     pub(crate) evacuation: evacuation::Evacuation,
@@ -275,6 +277,10 @@
             self.ended_jobs.insert(id, progress.ended_unix_ms);
             return;
         }
+        if progress.has_begun {
+            // What an earlier scheduler has seen of the fleet isn't known.
+            self.crashes.note_spontaneous(now.ms);
+        }
         self.pacing.note_steps(&accepted.spec.steps);
         let accepted_ms = now.ms.saturating_sub(age_ms);
         let is_cancelled = self.cancelled_before_submit.remove(&id).is_some();
@@ -375,6 +381,7 @@
         if let Some(runs) = self.runs_by_server.get_mut(&live.server) {
             runs.remove(&(id.clone(), index));
         }
+        self.crashes.unwatch(&live.server, &(id.clone(), index));
         match job.progress.task_state(index) {
             TaskState::Started => {
                 job.progress.task_mut(index).state = TaskState::Waiting;
@@ -453,7 +460,8 @@
                 server.unstored_ends.clear();
                 // A previous scheduler may have renewed the lease just before this reply.
                 server.lease_until_server_ms = reply.server_ms + self.settings.lease_max_ms;
-                if known.is_some() {
+                if let Some(ended) = known {
+                    self.record_restart_loss(id, ended, reply, now);
                     self.handle_restart(id, now);
                 }
             }
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -103,6 +103,32 @@
         /// Number of other runs that may have existed on the server.
         neighbours: usize,
     },
+    /// A server was lost under a run, see [`crate::crash_evidence`].
+    Crash {
+        /// The job.
+        job: id::JobId,
+        /// The task.
+        task: job::TaskIndex,
+        /// The server.
+        server: id::BackendServerId,
+        /// [`Blame::name`](crate::crash_evidence::Blame::name).
+        blame: &'static str,
+        /// Whether the server is known to have crashed.
+        is_proven: bool,
+        /// Whether the server has confirmed the start of the run.
+        has_begun: bool,
+        /// Number of crashes that count against the task so far.
+        crashes: usize,
+    },
+    /// A job was given up, since one of its tasks has crashed several servers.
+    GivenUp {
+        /// The job.
+        job: id::JobId,
+        /// The task.
+        task: job::TaskIndex,
+        /// Number of crashes that count against the task.
+        crashes: usize,
+    },
     /// A request to evacuate a zone was seen or has been removed.
     Evacuation {
         /// The zone.
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -143,6 +143,7 @@
         // The first member to finish marks the whole gang as done.
         for member in unit.members() {
             job.progress.task_mut(member).state = TaskState::Done;
+            job.clear_crashes(member);
         }
         job.finish_step_if_tasks_done(index.occurrence, index.step);
         job.mark_changed();
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -10,6 +10,8 @@
 
 pub mod advice;
 mod claims;
+pub mod crash_evidence;
+mod crashes;
 mod decide;
 pub mod disruption_budget;
 pub mod engine;
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -3,6 +3,7 @@
 
 use camphorbeam_model::{id, job};
 
+use crate::crash_evidence::{Evidence, Isolation};
 use crate::engine::{self, Engine, Now, Order, ORDER_RETRY_MS};
 use crate::event::Event;
 use crate::live_run::{LiveRun, RunPhase};
@@ -46,6 +47,17 @@
                 }
             }
             self.add_run_on(&server_id, &job.id, index);
+            let is_isolated = {
+                let unit = job.unit_of(index);
+                let mut members = unit.members();
+                members.any(|member| {
+                    let evidence = Evidence::of(&job.progress.crashes, member);
+                    evidence.isolation() != Isolation::None
+                })
+            };
+            if is_isolated {
+                self.watch_run(&server_id, &job.id, index);
+            }
             let live = LiveRun::restored(server_id, run, need, now.ms);
             self.track_restored(job, index, &live.server, now);
             job.runs.insert(index, live);
--- a/lib/jobs/src/placement.rs
+++ b/lib/jobs/src/placement.rs
@@ -302,6 +302,12 @@
         self.fit_index.note_change(position);
     }
 
+    /// Lets nothing more be placed on the server at `position`.
+    pub fn close(&mut self, position: usize) {
+        let free = self.candidates[position].free;
+        self.allocate(position, &free);
+    }
+
     /// Releases `need` on the server at `position`.
     pub fn release(&mut self, position: usize, need: &job::Resources) {
         let candidate = &mut self.candidates[position];
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -8,6 +8,8 @@
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple as _;
 
+use crate::crash_evidence;
+
 /// The state of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -96,6 +98,12 @@
     /// that the row of a job with many occurrences stays small.
     #[serde(rename = "d", default, skip_serializing_if = "BTreeSet::is_empty")]
     pub finished_steps: BTreeSet<(u32, u32)>,
+    /// Losses of servers under tasks that have not finished.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<crash_evidence::CrashEntry>,
+    /// Why the job was given up; `None` if it has failed by its own attempts, or has not failed.
+    #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
+    pub failure: Option<Arc<str>>,
 }
 
 impl Progress {
@@ -124,6 +132,10 @@
         self.finished_steps.insert((occurrence, step));
         self.tasks
             .retain(|index, _| (index.occurrence, index.step) != (occurrence, step));
+        self.crashes.retain(|entry| {
+            let task = entry.task();
+            (task.occurrence, task.step) != (occurrence, step)
+        });
     }
 
     /// The progress record of a task, mutable; it is added if there is none.
--- a/lib/jobs/src/reachability.rs
+++ b/lib/jobs/src/reachability.rs
@@ -270,6 +270,12 @@
         }
     }
 
+    /// Whether the zone of a server is cut off, or the own link may be the cause of its silence.
+    pub fn is_cut_off(&self, id: &id::BackendServerId) -> bool {
+        let is_cut_off = |server: &ServerReach| server.is_cut_off;
+        self.is_own_link_silent || self.servers.get(id).is_some_and(is_cut_off)
+    }
+
     /// Whether a start without a reply on this server is to be stopped at `now_ms`.
     fn is_stop_due(&self, id: &id::BackendServerId, now_ms: u64) -> bool {
         self.servers.get(id).is_some_and(|server| {
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -62,6 +62,8 @@
     pub unanswered_starts: BTreeMap<orders::RunName, u64>,
     /// Kinds of the tasks that the last reply to a hold listed.
     pub interference: interference::ServerTrack,
+    /// When a run was last placed on the server, on the scheduler's clock; zero if none was.
+    pub last_start_ms: u64,
     /// Resources used by the runs that may exist on the server.
     pub used: job::Resources,
     /// Until when the server counts as full after it refused a task for lack of resources, on the
@@ -95,6 +97,7 @@
             unstored_ends: BTreeMap::new(),
             unanswered_starts: BTreeMap::new(),
             interference: interference::ServerTrack::default(),
+            last_start_ms: 0,
             used: job::Resources::default(),
             full_until_ms: 0,
             cold_until_ms: 0,
--- a/lib/jobs/src/timeouts.rs
+++ b/lib/jobs/src/timeouts.rs
@@ -1,7 +1,7 @@
 //! Actions that depend on elapsed time: sends orders without a usable reply again, removes runs
 //! whose leases have expired, and stops runs that stall or that run on slow servers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use camphorbeam_model::{id, job};
 
@@ -119,6 +119,9 @@
             lapsed.push(id);
         }
         for id in lapsed {
+            if !self.reachability.is_cut_off(&id) {
+                self.record_server_loss(&id, self.life_of(&id), false, &BTreeSet::new(), now);
+            }
             let runs = self.runs_on(&id);
             self.events.push(Event::Server {
                 server: id.clone(),
--- a/lib/jobs/tests/test_random_faults.rs
+++ b/lib/jobs/tests/test_random_faults.rs
@@ -2,6 +2,7 @@
 
 use camphorbeam_fleet_model as support;
 use camphorbeam_fleet_model::{gang, step, Simulation, STEP_MS};
+use camphorbeam_jobs::event::Event;
 use camphorbeam_jobs::progress::JobState;
 use camphorbeam_jobs::settings::{ReachabilityMode, Settings};
 use camphorbeam_model::id;
@@ -125,12 +126,20 @@
         let is_over = state == JobState::Completed || (cancelled.contains(job) && state.is_final());
         assert!(
             is_over,
-            "seed {seed}: {job} is {state:?}: {:?}",
-            sim.engine.job(job)
+            "seed {seed}: {job} is {state:?}: {:?}\n{}",
+            sim.engine.job(job),
+            crash_log(&sim, job)
         );
     }
 }
 
+fn crash_log(sim: &Simulation, id: &id::JobId) -> String {
+    let is_crash =
+        |event: &&(u64, Event)| matches!(&event.1, Event::Crash { job, .. } if job == id);
+    let crashes = sim.events.iter().filter(is_crash);
+    crashes.map(|event| format!("{event:?}\n")).collect()
+}
+
 #[rstest]
 fn test_random_faults_run_no_task_twice_and_lose_no_job(
     #[values(0, 1, 2, 3, 4, 5, 6, 7)] block: u64,
