jobs: decide later about losses of servers that could not be explained

A server that was silent until its lease had expired stayed a loss without proof for ever. One that came back after a longer cut left its tasks under suspicion, so that a job on a bad link waited longer and longer; a crash whose server was away for longer than the lease never counted, so that its task was started without end.

The life of the server (address and incarnation) is kept with the entries, also across takeovers. A reply of the same life withdraws them, one of a newer life under the id or at the address proves the crash.

--- a/lib/fleet-model/src/crashes.rs
+++ b/lib/fleet-model/src/crashes.rs
@@ -97,7 +97,7 @@
             }
         }
         for (name, cause) in causes {
-            self.end_life(&name, Some(cause), Some(RESTART_MS));
+            self.end_life(&name, Some(cause), Some(self.restart_ms));
         }
         let now_ms = self.now_ms;
         let is_back = |server: &ModelServer| matches!(server.life, Life::Down { back_at_ms: Some(at_ms) } if at_ms <= now_ms);
--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -192,6 +192,8 @@
     pub run_records: Vec<RunRecord>,
     /// Whether the store accepts no writes.
     pub is_store_unavailable: bool,
+    /// Time until a server that a task has crashed is back.
+    pub restart_ms: u64,
     /// Crashes of servers that came back as others.
     pub crash_records: Vec<crashes::CrashRecord>,
     /// Zones that operators have asked to evacuate.
@@ -333,6 +335,7 @@
             stored: BTreeMap::new(),
             run_records: Vec::new(),
             is_store_unavailable: false,
+            restart_ms: crashes::RESTART_MS,
             crash_records: Vec::new(),
             evacuated_zones: BTreeSet::new(),
             is_operator_feed_lost: false,
--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -188,6 +188,7 @@
             | Event::WaitsForProven { job, .. } => job == &task.job,
             Event::Server { .. }
             | Event::AddressReused { .. }
+            | Event::LossResolved { .. }
             | Event::Interference(_)
             | Event::Pace { .. }
             | Event::Reach { .. }
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -83,6 +83,13 @@
             server = server.as_str(), blame = *blame, is_proven = *is_proven,
             has_begun = *has_begun, crashes = *crashes, epoch = epoch.0
         }),
+        Event::LossResolved {
+            server,
+            has_crashed,
+            jobs,
+        } => spdlog::info!("loss of a server resolved", kv: {
+            server = server.as_str(), has_crashed = *has_crashed, jobs = *jobs, epoch = epoch.0
+        }),
         Event::GivenUp { job, task, crashes } => spdlog::warn!("job given up", kv: {
             job = job.as_str(), task = format_task_index(*task).as_str(), crashes = *crashes,
             epoch = epoch.0
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -299,6 +299,10 @@
             } => ("lost", "begun"),
             Event::RunLost { .. } => ("lost", "not confirmed"),
             Event::Crash { blame, .. } => ("server lost", *blame),
+            Event::LossResolved {
+                has_crashed: true, ..
+            } => ("server lost", "crash proven"),
+            Event::LossResolved { .. } => ("server lost", "withdrawn"),
             Event::GivenUp { .. } => ("given up", "crashes"),
             Event::AddressReused { .. } => ("server", "address reused"),
             Event::Evacuation { state, .. } => return self.record_evacuation(state),
--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -61,6 +61,9 @@
     watched: BTreeMap<id::BackendServerId, BTreeSet<(id::JobId, job::TaskIndex)>>,
     /// Until when servers of the fleet count as crashing by themselves.
     spontaneous_until_ms: u64,
+    /// Lives of lost servers that may have ended or be out of reach, with the jobs that have an
+    /// entry for them.
+    unproven: BTreeMap<id::BackendServerId, (ServerLife, BTreeSet<id::JobId>)>,
 }
 
 impl Crashes {
@@ -172,6 +175,12 @@
             .filter_map(|(job, task)| self.lost_run(job, task, life, last_reply_ms, now))
             .filter(|lost| !survivors.contains(&(&lost.job, lost.task, lost.run)))
             .collect();
+        if let (Some(life), false) = (life, is_proven) {
+            let jobs = runs.iter().map(|lost| lost.job.clone());
+            self.crashes
+                .unproven
+                .insert(id.clone(), (life, jobs.collect()));
+        }
         let are_spontaneous = now.ms < self.crashes.spontaneous_until_ms;
         let explanations = best_explanations(&runs, are_spontaneous);
         if explanations.is_empty() && is_proven {
@@ -259,6 +268,75 @@
         })
     }
 
+    /// Decides about losses without proof after `server`, which listens at `address`, has replied:
+    /// an earlier server at the address has crashed, and one that replies in the same life was only
+    /// out of reach.
+    pub(crate) fn resolve_losses(
+        &mut self,
+        server: &id::BackendServerId,
+        replied: ServerLife,
+        now: Now,
+    ) {
+        let of_address = self.crashes.unproven.iter();
+        let of_address = of_address.filter(|(id, (life, _))| {
+            *id == server
+                || (life.address == replied.address && life.incarnation <= replied.incarnation)
+        });
+        let resolved: Vec<id::BackendServerId> = of_address.map(|(id, _)| id.clone()).collect();
+        for id in resolved {
+            let Some((life, jobs)) = self.crashes.unproven.remove(&id) else {
+                continue;
+            };
+            let is_same_life = &id == server && life.incarnation == replied.incarnation;
+            self.events.push(Event::LossResolved {
+                server: id.clone(),
+                has_crashed: !is_same_life,
+                jobs: jobs.len(),
+            });
+            for job in jobs {
+                self.resolve_loss(&job, &id, is_same_life, now);
+            }
+        }
+    }
+
+    fn resolve_loss(
+        &mut self,
+        id: &id::JobId,
+        server: &id::BackendServerId,
+        is_same_life: bool,
+        now: Now,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let entries = &mut job.progress.crashes;
+        let mut tasks = Vec::new();
+        for entry in entries.iter_mut().filter(|entry| &entry.server == server) {
+            entry.is_proven = true;
+            tasks.push(entry.task());
+        }
+        if is_same_life {
+            entries.retain(|entry| &entry.server != server);
+        }
+        job.mark_changed();
+        for task in tasks {
+            self.give_up_if_deadly(id, task, now);
+        }
+    }
+
+    /// Takes the losses without proof of a job that an earlier scheduler has recorded.
+    pub(crate) fn restore_losses(&mut self, job: &OpenJob) {
+        for entry in job.progress.crashes.iter().filter(|entry| !entry.is_proven) {
+            if let Some(life) = entry.life {
+                let unproven = &mut self.crashes.unproven;
+                let (_, jobs) = unproven
+                    .entry(entry.server.clone())
+                    .or_insert_with(|| (life, BTreeSet::new()));
+                jobs.insert(job.id.clone());
+            }
+        }
+    }
+
     /// Ends the job of a task that has crashed several servers.
     fn give_up_if_deadly(&mut self, id: &id::JobId, task: job::TaskIndex, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else {
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -286,6 +286,7 @@
         let is_cancelled = self.cancelled_before_submit.remove(&id).is_some();
         let mut job =
             open_job::OpenJob::new(id.clone(), accepted, progress, row_version, accepted_ms);
+        self.restore_losses(&job);
         self.restore_runs(&mut job, now);
         self.jobs.insert(id.clone(), job);
         if is_cancelled {
@@ -477,6 +478,9 @@
         }
         self.reachability.end_hold(id);
         self.record_reach(id, now);
+        if let Some(life) = self.life_of(id) {
+            self.resolve_losses(id, life, now);
+        }
         self.observe_interference(id, reply, now);
         self.process_ends(id, reply, now);
         self.reconcile_running(id, sent_ms, reply, now);
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -120,6 +120,15 @@
         /// Number of crashes that count against the task so far.
         crashes: usize,
     },
+    /// It is known whether a server that was lost has crashed.
+    LossResolved {
+        /// The server.
+        server: id::BackendServerId,
+        /// Whether it has crashed; otherwise it was only out of reach.
+        has_crashed: bool,
+        /// Number of jobs with tasks that ran there.
+        jobs: usize,
+    },
     /// A job was given up, since one of its tasks has crashed several servers.
     GivenUp {
         /// The job.
