jobs: give up a task only if three crashes point to it

The sum of weights has to be 5 now, which three blamed crashes reach; five crashes are the limit as before.

--- a/lib/jobs/src/crash_evidence.rs
+++ b/lib/jobs/src/crash_evidence.rs
@@ -12,8 +12,9 @@
 /// Number of crashes below which a task is never given up. Two may meet a sound task by chance.
 const CRASHES_MIN: usize = 3;
 
-/// Sum of weights from which on a task with [`CRASHES_MIN`] crashes is given up.
-const WEIGHT_MIN: u32 = 4;
+/// Sum of weights from which on a task with [`CRASHES_MIN`] crashes is given up: three crashes have
+/// to point to it.
+const WEIGHT_MIN: u32 = 5;
 
 /// Number of crashes at which a task is given up whatever else may explain them: two starts after
 /// the third crash are allowed.
