jobs: tell a successor which lives of servers its runs were placed on

After a takeover the runs on a server that had crashed waited for its lease, 8 s and more, although another server answered at its address: the successor knew only an id that the registry no longer lists. Restarts under the same id between two schedulers weren't noticed as crashes at all.

The progress of a job keeps address and incarnation of the servers with a run of it. A reply of a newer life at the address, or under the id, proves the crash to the successor. Refused holds of one replaced server count as one crash, not as several.

test_crashes_before_a_takeover_are_proven_to_the_successor failed before and passes.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -557,6 +557,11 @@
         now: Now,
     ) {
         let is_isolated = self.isolation(id, unit) != Isolation::None;
+        let lives: Vec<_> = assignment
+            .iter()
+            .map(|&position| &snapshot.candidates()[position].entry.id)
+            .filter_map(|server| Some((server.clone(), self.life_of(server)?)))
+            .collect();
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -570,6 +575,7 @@
         let generation = job.generation;
         job.progress.state = JobState::Running;
         job.progress.has_begun = true;
+        job.progress.lives.extend(lives);
         for (index, &position) in unit.members().zip(assignment) {
             let server = snapshot.candidates()[position].entry.id.clone();
             let task = job.progress.task_mut(index);
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -11,9 +11,9 @@
 use crate::preemption::Claims;
 use crate::progress::{JobState, Progress, TaskState};
 use crate::{
-    advice, crashes, disruption_budget, evacuation, fair_share, headroom, health, interference,
-    maintenance, open_job, pacing, placement, reachability, restarts, server, settings, soundness,
-    speeds,
+    advice, crash_evidence, crashes, disruption_budget, evacuation, fair_share, headroom, health,
+    interference, maintenance, open_job, pacing, placement, reachability, restarts, server,
+    settings, soundness, speeds,
 };
 
 /// Delay until an order that got no usable reply is sent again, counted from when the missing reply
@@ -91,6 +91,9 @@
     /// Servers that have runs in stored progress but aren't known from the registry, and the
     /// monotonic time in milliseconds since when.
     pub(crate) unregistered: BTreeMap<id::BackendServerId, u64>,
+    /// Lives of servers that runs of an earlier scheduler were placed on, until they reply or are
+    /// known to have ended.
+    pub(crate) restored_lives: BTreeMap<id::BackendServerId, crash_evidence::ServerLife>,
     pub(crate) health: health::Health,
     pub(crate) reachability: reachability::Reachability,
     pub(crate) soundness: soundness::Soundness,
@@ -383,6 +386,9 @@
             runs.remove(&(id.clone(), index));
         }
         self.crashes.unwatch(&live.server, &(id.clone(), index));
+        if !job.runs.values().any(|other| other.server == live.server) {
+            job.progress.lives.remove(&live.server);
+        }
         match job.progress.task_state(index) {
             TaskState::Started => {
                 job.progress.task_mut(index).state = TaskState::Waiting;
@@ -461,9 +467,12 @@
                 server.unstored_ends.clear();
                 // A previous scheduler may have renewed the lease just before this reply.
                 server.lease_until_server_ms = reply.server_ms + self.settings.lease_max_ms;
-                if let Some(ended) = known {
-                    self.record_restart_loss(id, ended, reply, now);
-                    self.handle_restart(id, now);
+                match known {
+                    Some(ended) => {
+                        self.record_restart_loss(id, ended, reply, now);
+                        self.handle_restart(id, now);
+                    }
+                    None => self.compare_with_restored_life(id, reply, now),
                 }
             }
         }
@@ -480,6 +489,7 @@
         self.record_reach(id, now);
         if let Some(life) = self.life_of(id) {
             self.resolve_losses(id, life, now);
+            self.find_replaced_servers(id, life, now);
         }
         self.observe_interference(id, reply, now);
         self.process_ends(id, reply, now);
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -46,6 +46,9 @@
                     self.unregistered.entry(server_id.clone()).or_insert(now.ms);
                 }
             }
+            if let Some(life) = job.progress.lives.get(&server_id) {
+                self.restored_lives.insert(server_id.clone(), *life);
+            }
             self.add_run_on(&server_id, &job.id, index);
             let is_isolated = {
                 let unit = job.unit_of(index);
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -101,6 +101,10 @@
     /// Losses of servers under tasks that have not finished.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<crash_evidence::CrashEntry>,
+    /// Lives of the servers with a run of the job, so that a successor can tell whether they have
+    /// ended. A server that has not replied yet has no entry.
+    #[serde(rename = "l", default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lives: BTreeMap<id::BackendServerId, crash_evidence::ServerLife>,
     /// Why the job was given up; `None` if it has failed by its own attempts, or has not failed.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub failure: Option<Arc<str>>,
--- a/lib/jobs/src/server_loss.rs
+++ b/lib/jobs/src/server_loss.rs
@@ -19,18 +19,11 @@
         let Some(server) = self.servers.get_mut(id).filter(at_address) else {
             return;
         };
-        let was_replaced = std::mem::replace(&mut server.is_replaced, true);
-        self.record_server_loss(id, self.life_of(id), true, &BTreeSet::new(), now);
-        let runs = self.runs_on(id);
-        if !was_replaced {
-            self.events.push(Event::Server {
-                server: id.clone(),
-                belief: "replaced",
-                runs: runs.len(),
-            });
-        }
-        for (job, index) in runs {
-            self.remove_lost_run(&job, index, now);
+        // Holds are refused again and again until the registry drops the server.
+        if !std::mem::replace(&mut server.is_replaced, true) {
+            self.restored_lives.remove(id);
+            self.record_server_loss(id, self.life_of(id), true, &BTreeSet::new(), now);
+            self.remove_replaced_runs(id, now);
         }
     }
 
@@ -53,4 +46,58 @@
         });
         self.record_server_loss(id, life, true, &listed.collect(), now);
     }
+
+    /// Handles the first reply of a server that an earlier scheduler has placed runs on.
+    pub(crate) fn compare_with_restored_life(
+        &mut self,
+        id: &id::BackendServerId,
+        reply: &HoldReply,
+        now: Now,
+    ) {
+        let restored = self.restored_lives.remove(id);
+        if let Some(ended) = restored.and_then(|life| life.incarnation) {
+            if ended < reply.incarnation {
+                self.record_restart_loss(id, ended, reply, now);
+            }
+        }
+    }
+
+    /// Removes the runs of servers that the registry doesn't list any more and whose address
+    /// belongs to `server`, which has replied.
+    pub(crate) fn find_replaced_servers(
+        &mut self,
+        server: &id::BackendServerId,
+        replied: ServerLife,
+        now: Now,
+    ) {
+        let is_replaced = |(id, life): &(&id::BackendServerId, &ServerLife)| {
+            *id != server
+                && life.address == replied.address
+                && life.incarnation <= replied.incarnation
+                && self.unregistered.contains_key(*id)
+        };
+        let restored = self.restored_lives.iter();
+        let replaced: Vec<_> = restored
+            .filter(is_replaced)
+            .map(|(id, life)| (id.clone(), *life))
+            .collect();
+        for (id, life) in replaced {
+            self.restored_lives.remove(&id);
+            self.unregistered.remove(&id);
+            self.record_server_loss(&id, Some(life), true, &BTreeSet::new(), now);
+            self.remove_replaced_runs(&id, now);
+        }
+    }
+
+    fn remove_replaced_runs(&mut self, id: &id::BackendServerId, now: Now) {
+        let runs = self.runs_on(id);
+        self.events.push(Event::Server {
+            server: id.clone(),
+            belief: "replaced",
+            runs: runs.len(),
+        });
+        for (job, index) in runs {
+            self.remove_lost_run(&job, index, now);
+        }
+    }
 }
--- a/lib/jobs/src/timeouts.rs
+++ b/lib/jobs/src/timeouts.rs
@@ -119,8 +119,10 @@
             lapsed.push(id);
         }
         for id in lapsed {
+            let restored = self.restored_lives.remove(&id);
             if !self.reachability.is_cut_off(&id) {
-                self.record_server_loss(&id, self.life_of(&id), false, &BTreeSet::new(), now);
+                let life = self.life_of(&id).or(restored);
+                self.record_server_loss(&id, life, false, &BTreeSet::new(), now);
             }
             let runs = self.runs_on(&id);
             self.events.push(Event::Server {
