jobs: tests of deadly tasks of all kinds, sick machines and leaving servers

Kinds: urgent, one of many tasks, gangs, long-running, without accelerators, late, after a checkpoint, in a later step.

A sick machine in a fleet with room gets one job and is avoided from then on; the test uses a full fleet, where it crashes more often and no job is given up.

--- a/lib/jobs/tests/test_crashes.rs
+++ b/lib/jobs/tests/test_crashes.rs
@@ -2,11 +2,12 @@
 
 use camphorbeam_fleet_model as support;
 
-use camphorbeam_fleet_model::crashes::{CrashTrigger, RESTART_MS};
-use camphorbeam_fleet_model::{step, Simulation};
+use camphorbeam_fleet_model::crashes::{CrashTrigger, Life, RESTART_MS};
+use camphorbeam_fleet_model::{gang, step, Simulation};
+use camphorbeam_jobs::crash_evidence::Blame;
 use camphorbeam_jobs::event::Event;
 use camphorbeam_jobs::progress::JobState;
-use camphorbeam_model::id;
+use camphorbeam_model::{id, job};
 use rstest::rstest;
 
 /// Time for a hold, a decision and a start after a server is known to be back.
@@ -140,3 +141,164 @@
     }
     sim.assert_no_duplicate_runs();
 }
+
+/// Submits a job on an otherwise busy fleet that crashes servers, and checks that it is given up
+/// within `crashes_max` crashes while all other jobs complete.
+fn check_deadly_job(
+    queue: &str,
+    steps: Vec<job::StepSpec>,
+    trigger: CrashTrigger,
+    crashes_max: usize,
+) {
+    let mut sim = Simulation::new(4, 4, 0);
+    let others = submit_background(&mut sim, 12);
+    sim.make_deadly("deadly", trigger);
+    let deadly = sim.submit("deadly", queue, "b", steps);
+    sim.run(90_000);
+    sim.assert_crash_budget();
+    assert_eq!(sim.state(&deadly), JobState::Failed);
+    let reason = sim.stored[&deadly].0.failure.clone();
+    assert!(reason.is_some_and(|reason| reason.contains("have crashed")));
+    assert!(
+        sim.crash_records.len() <= crashes_max,
+        "{:?}",
+        sim.crash_records
+    );
+    assert_eq!(sim.open_runs("deadly").count(), 0);
+    for job in others {
+        assert_eq!(sim.state(&job), JobState::Completed);
+    }
+    sim.assert_no_duplicate_runs();
+}
+
+// Guards against crashes that are counted only for plain single tasks.
+#[rstest]
+#[case::urgent(support::URGENT, vec![step(1, 1, 6_000)])]
+#[case::one_of_many_tasks(support::BATCH, vec![step(12, 1, 6_000)])]
+#[case::gang(support::NORMAL, vec![gang(3, 4, 6_000)])]
+#[case::wide_gang(support::NORMAL, vec![gang(3, 8, 6_000)])]
+#[case::long_running(support::NORMAL, vec![long_running(step(1, 1, 6_000))])]
+#[case::without_accelerators(support::BATCH, vec![step(1, 0, 6_000)])]
+fn test_crashes_deadly_job_is_given_up(#[case] queue: &str, #[case] steps: Vec<job::StepSpec>) {
+    check_deadly_job(queue, steps, CrashTrigger::default(), 3);
+}
+
+fn long_running(step: job::StepSpec) -> job::StepSpec {
+    job::StepSpec {
+        is_long_running: true,
+        ..step
+    }
+}
+
+// Guards against a task that is taken for sound because it lasts for some time before each crash.
+#[rstest]
+fn test_crashes_task_that_crashes_late_is_given_up(#[values(600, 1_500, 3_000)] run_time_ms: u64) {
+    let trigger = CrashTrigger {
+        run_time_ms,
+        percent: 0.0,
+    };
+    check_deadly_job(support::NORMAL, vec![step(1, 1, 6_000)], trigger, 5);
+}
+
+// Guards against a task that is taken for sound because its first run is, and only those that
+// resume from its checkpoint crash.
+#[test]
+fn test_crashes_task_that_crashes_after_a_checkpoint_is_given_up() {
+    let trigger = CrashTrigger {
+        run_time_ms: 0,
+        percent: 40.0,
+    };
+    let steps = vec![job::StepSpec {
+        supports_checkpoints: true,
+        ..step(1, 1, 6_000)
+    }];
+    check_deadly_job(support::NORMAL, steps, trigger, 5);
+}
+
+// Guards against the second of two dependent steps whose crashes aren't counted.
+#[test]
+fn test_crashes_of_a_later_step_are_counted() {
+    let trigger = CrashTrigger {
+        run_time_ms: 0,
+        percent: 0.0,
+    };
+    let mut sim = Simulation::new(4, 4, 0);
+    let second = job::StepSpec {
+        depends_on: vec![0],
+        ..step(2, 1, 2_000)
+    };
+    // Rank 1 exists in the second step only.
+    sim.make_task_deadly("deadly", 1, trigger);
+    let job = sim.submit(
+        "deadly",
+        support::NORMAL,
+        "b",
+        vec![step(1, 1, 2_000), second],
+    );
+    sim.run(60_000);
+    sim.assert_crash_budget();
+    assert_eq!(sim.state(&job), JobState::Failed);
+    assert_eq!(sim.crash_records.len(), 3);
+}
+
+// Guards against a machine that crashes by itself and has the jobs that it meets given up.
+#[test]
+fn test_crashes_of_a_sick_machine_are_not_blamed_on_tasks() {
+    let mut sim = Simulation::new(1, 3, 0);
+    let mut jobs = Vec::new();
+    for number in 0..30 {
+        let steps = vec![step(3, 4, 3_000)];
+        jobs.push(sim.submit(&format!("sound-{number}"), support::NORMAL, "b", steps));
+        sim.run(500);
+        let machine = sim.run_records[0].server.clone();
+        let sick = sim.servers.iter().find(|(name, server)| {
+            name.starts_with(&machine) && server.life == Life::Up && sim.running_on(name) > 0
+        });
+        if let Some(name) = sick.map(|(name, _)| name.clone()) {
+            sim.crash_for_good_or(&name, Some(1_000));
+        }
+        sim.run(1_000);
+    }
+    sim.run(60_000);
+    assert!(sim.crash_records.len() >= 3, "{:?}", sim.crash_records);
+    for job in jobs {
+        assert_eq!(sim.state(&job), JobState::Completed);
+    }
+    sim.assert_no_duplicate_runs();
+}
+
+// Guards against neighbours that stay under suspicion once the cause of the crashes is found.
+#[test]
+fn test_crashes_neighbours_are_cleared_once_the_cause_is_found() {
+    let mut sim = Simulation::new(1, 4, 0);
+    let beside = sim.submit("beside", support::NORMAL, "b", vec![step(12, 1, 30_000)]);
+    sim.run(2_000);
+    sim.make_deadly("deadly", CrashTrigger::default());
+    let deadly = sim.submit("deadly", support::NORMAL, "b", vec![step(1, 1, 6_000)]);
+    let is_over = |sim: &Simulation| sim.state(&deadly) == JobState::Failed;
+    assert!(sim.run_until(60_000, is_over));
+    sim.run(200);
+    let blamed = sim.stored[&beside].0.crashes.iter();
+    let blamed = blamed.filter(|entry| entry.blame != Blame::Bystander);
+    assert_eq!(blamed.count(), 0, "{:?}", sim.stored[&beside].0.crashes);
+    assert!(sim.run_until(90_000, |sim| sim.state(&beside) == JobState::Completed));
+}
+
+// Guards against servers taken away after a notice, or rebooted, that count as crashes.
+#[test]
+fn test_crashes_servers_that_leave_after_a_notice_are_not_counted() {
+    let mut sim = Simulation::new(2, 4, 0);
+    let job = sim.submit("j1", support::NORMAL, "b", vec![step(1, 8, 60_000)]);
+    for _ in 0..6 {
+        assert!(sim.run_until(20_000, |sim| sim.open_runs("j1").count() == 1));
+        let server = sim.open_runs("j1").last().unwrap().server.clone();
+        sim.server(&server).entry.is_draining = true;
+        sim.register();
+        sim.run(500);
+        sim.crash_for_good_or(&server, Some(RESTART_MS));
+        sim.run(RESTART_MS);
+    }
+    sim.run(1_000);
+    assert_eq!(sim.state(&job), JobState::Running);
+    assert_eq!(sim.stored[&job].0.crashes, Vec::new());
+}
