gateway: tell the caller why a job was given up

A job that was given up for crashes was shown as failed without a word, like one that used up its attempts.

--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -151,7 +151,12 @@
         let duration = self.elapsed(budget);
         self.metrics.record_call(what, reply.name(), duration);
         // Successful reads are not logged, since they change nothing.
-        if what == "read" && matches!(reply, Reply::State(_) | Reply::Waiting(_)) {
+        if what == "read"
+            && matches!(
+                reply,
+                Reply::State(_) | Reply::GivenUp(_) | Reply::Waiting(_)
+            )
+        {
             return;
         }
         let job = authorized.job.as_ref().map_or("", id::JobId::as_str);
@@ -252,10 +257,12 @@
                 Some(progress::Progress {
                     account: Some(owner),
                     state,
+                    failure,
                     ..
-                }) => match owner == authorized.account {
-                    true => Reply::State(state),
-                    false => Reply::NoSuchJob,
+                }) => match failure {
+                    _ if owner != authorized.account => Reply::NoSuchJob,
+                    Some(reason) if state == progress::JobState::Failed => Reply::GivenUp(reason),
+                    _ => Reply::State(state),
                 },
                 // Rows of earlier versions name no account.
                 Some(progress) => {
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -316,6 +316,31 @@
     }
 }
 
+// Guards against a job that is given up without its caller being told why.
+#[test]
+fn test_gateway_tells_the_owner_why_a_job_was_given_up() {
+    let fixture = Fixture::new();
+    fixture.submit("k1", "j1");
+    store_progress(&fixture, "j1", true);
+    let key = rows::progress_key(&id::JobId::new("j1").unwrap());
+    let stored = fixture.store.value(&key).unwrap();
+    let progress = Progress {
+        state: JobState::Failed,
+        failure: Some("given up: servers have crashed".into()),
+        ..serde_json::from_str(&stored).unwrap()
+    };
+    let text = serde_json::to_string(&progress).unwrap();
+    fixture.store.put(&key, &text);
+    assert_eq!(
+        fixture.call("k1", "/q/j1", Operation::Read),
+        Reply::GivenUp("given up: servers have crashed".into())
+    );
+    assert_eq!(
+        fixture.call("k2", "/q/j1", Operation::Read),
+        Reply::NoSuchJob
+    );
+}
+
 #[test]
 fn test_gateway_cancels_no_job_whose_owner_it_can_not_read() {
     let fixture = Fixture::new();
