--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -50,6 +50,10 @@
 /// Number of cores that one accelerator counts as when lost work is added up.
 const CORES_PER_ACCELERATOR: f64 = 8.0;
 
+/// Time after a reduction of a server's capacity in which starts may still exceed it: `contact_ms`
+/// and one heartbeat of the users' smallest sites.
+pub const SHRUNK_GRACE_MS: u64 = 3_000 + 1_000;
+
 /// State of a run on a server.
 struct Run {
     percent: f64,
@@ -82,6 +86,10 @@
     pub incarnation: u64,
     /// Whether a process listens at the address.
     pub life: crashes::Life,
+    /// Whether the server refuses what exceeds its capacity.
+    pub enforces_capacity: bool,
+    /// The capacity before it shrank, and until when starts that fit it are accepted.
+    larger_capacity: Option<(job::Resources, u64)>,
     /// Whether the scheduler can't reach the server. Its runs continue.
     pub is_unreachable: bool,
     /// Whether every run fails at once.
@@ -110,6 +118,8 @@
             entry,
             incarnation: 1,
             life: crashes::Life::Up,
+            enforces_capacity: true,
+            larger_capacity: None,
             is_unreachable: false,
             fails_all: false,
             hangs: false,
@@ -194,6 +204,8 @@
     pub is_store_unavailable: bool,
     /// Time until a server that a task has crashed is back.
     pub restart_ms: u64,
+    /// Starts beyond the capacity of a server that doesn't enforce it, and when they were.
+    pub starts_over_capacity: Vec<(u64, String, RunName)>,
     /// Crashes of servers that came back as others.
     pub crash_records: Vec<crashes::CrashRecord>,
     /// Zones that operators have asked to evacuate.
@@ -336,6 +348,7 @@
             run_records: Vec::new(),
             is_store_unavailable: false,
             restart_ms: crashes::RESTART_MS,
+            starts_over_capacity: Vec::new(),
             crash_records: Vec::new(),
             evacuated_zones: BTreeSet::new(),
             is_operator_feed_lost: false,
@@ -560,6 +573,15 @@
         self.servers.get_mut(name).unwrap()
     }
 
+    /// Changes the capacity of a server. The registry shows it after the next
+    /// [`Simulation::register`].
+    pub fn set_capacity(&mut self, name: &str, capacity: job::Resources) {
+        let until_ms = self.now_ms + SHRUNK_GRACE_MS;
+        let server = self.server(name);
+        let before = std::mem::replace(&mut server.entry.capacity, capacity);
+        server.larger_capacity = Some((before, until_ms));
+    }
+
     /// Returns the number of runs on a server.
     pub fn running_on(&self, name: &str) -> usize {
         self.servers[name].running.len()
--- a/lib/fleet-model/src/orders.rs
+++ b/lib/fleet-model/src/orders.rs
@@ -154,9 +154,18 @@
         if server.running.contains_key(name) {
             return start_outcome(server);
         }
-        if !server.entry.capacity.minus(&used).can_fit(&need) {
+        let fits = |capacity: &job::Resources| capacity.minus(&used).can_fit(&need);
+        let is_over = !fits(&server.entry.capacity);
+        if is_over && server.enforces_capacity {
             return StartOutcome::Refused(StartRefusal::NoRoom);
         }
+        let larger = server.larger_capacity;
+        let is_in_grace =
+            larger.is_some_and(|(larger, until_ms)| self.now_ms < until_ms && fits(&larger));
+        if is_over && !is_in_grace {
+            let record = (self.now_ms, server_name.to_owned(), name.clone());
+            self.starts_over_capacity.push(record);
+        }
         server.running.insert(
             name.clone(),
             Run {
--- a/lib/jobs/src/evacuation.rs
+++ b/lib/jobs/src/evacuation.rs
@@ -22,6 +22,9 @@
 /// Like [`EVACUATED_REASON`], if the requests to evacuate zones weren't confirmed in time.
 const UNCONFIRMED_REASON: &str = "evacuations unconfirmed";
 
+/// Like [`EVACUATED_REASON`], if the server's capacity shrank before the start.
+const SHRUNK_REASON: &str = "capacity has shrunk";
+
 /// Like [`EVACUATED_REASON`], if the ticket of the run has ended before its start.
 const NO_TICKET_REASON: &str = "ticket ended";
 
@@ -94,15 +97,15 @@
         self.update_evacuated_servers();
     }
 
-    /// Whether a start order may be sent to a server at `now`: the server isn't vacated for
-    /// maintenance, and its zone isn't evacuated, which was confirmed within half of
+    /// Whether a start order may be sent to a server at `now`: the server has room for all runs that
+    /// may exist there, this one included, and isn't vacated for maintenance, and its zone isn't evacuated, which was confirmed within half of
     /// [`Settings::evacuate_ms`]. The other half is left for the order's way.
     ///
     /// [`Settings::evacuate_ms`]: crate::settings::Settings::evacuate_ms
     pub fn may_start_on(&self, id: &id::BackendServerId, now: Now) -> bool {
         let server = self.servers.get(id);
         self.has_confirmed_evacuations(now)
-            && server.is_some_and(|server| !self.is_evacuated(server))
+            && server.is_some_and(|server| !self.is_evacuated(server) && !server.is_over_capacity())
             && !self.is_vacated(id)
     }
 
@@ -249,6 +252,7 @@
             () if server.is_some_and(|server| self.is_evacuated(server)) => EVACUATED_REASON,
             () if self.is_vacated(&server_id) => maintenance::MAINTENANCE_REASON,
             () if !self.has_confirmed_evacuations(now) => UNCONFIRMED_REASON,
+            () if server.is_some_and(Server::is_over_capacity) => SHRUNK_REASON,
             () => NO_TICKET_REASON,
         };
         for member in unit.members() {
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -110,8 +110,15 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Whether the runs that may exist on the server need more than it has, as after a reduction of
+    /// its capacity.
+    pub fn is_over_capacity(&self) -> bool {
+        !self.entry.capacity.can_fit(&self.used)
+    }
+
     /// Whether the server can take new work: it is registered, isn't draining, hasn't been replaced,
-    /// replies to holds, and doesn't count as full (`full_until_ms`).
+    /// replies to holds, has room for what runs there, and doesn't count as full
+    /// (`full_until_ms`).
     pub fn is_usable(&self, now_ms: u64) -> bool {
         let is_responsive = self
             .last_reply_ms
@@ -120,6 +127,7 @@
             && !self.is_replaced
             && !self.entry.is_draining
             && is_responsive
+            && !self.is_over_capacity()
             && now_ms >= self.full_until_ms
     }
 
