--- a/lib/jobs/src/crash_evidence.rs
+++ b/lib/jobs/src/crash_evidence.rs
@@ -16,6 +16,9 @@
 /// to point to it.
 const WEIGHT_MIN: u32 = 5;
 
+/// The same while servers are known to crash by themselves: four crashes have to point to it.
+const DOUBTFUL_WEIGHT_MIN: u32 = 7;
+
 /// Number of crashes at which a task is given up whatever else may explain them: two starts after
 /// the third crash are allowed.
 const CRASHES_MAX: usize = 5;
@@ -177,14 +180,18 @@
     }
 
     /// Whether the task is given up: it was running on several servers as they crashed, and is the
-    /// best explanation for that.
-    pub fn is_deadly(&self) -> bool {
+    /// best explanation for that. `are_spontaneous` says that servers crash by themselves too.
+    pub fn is_deadly(&self, are_spontaneous: bool) -> bool {
         let confirmed = self.proven().filter(|entry| entry.has_begun).count();
         let weight: u32 = self.proven().map(|entry| entry.blame.weight()).sum();
+        let weight_min = match are_spontaneous {
+            true => DOUBTFUL_WEIGHT_MIN,
+            false => WEIGHT_MIN,
+        };
         match self.crashes() {
             _ if confirmed < CONFIRMED_MIN => false,
             CRASHES_MAX.. => true,
-            CRASHES_MIN.. => weight >= WEIGHT_MIN,
+            CRASHES_MIN.. => weight >= weight_min,
             _ => false,
         }
     }
--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -343,7 +343,8 @@
             return;
         };
         let evidence = Evidence::of(&job.progress.crashes, task);
-        if job.progress.state.is_final() || !evidence.is_deadly() {
+        let are_spontaneous = now.ms < self.crashes.spontaneous_until_ms;
+        if job.progress.state.is_final() || !evidence.is_deadly(are_spontaneous) {
             return;
         }
         let crashes = evidence.entries().iter().filter(|entry| entry.is_proven);
