jobs: count runs that are still being stopped for an earlier owner

A run that a server lists and the engine doesn't expect was sent a stop order and otherwise ignored: runs of a cancelled or failed job after a takeover, and starts that were carried out late. The next task was started beside it, over the capacity where the server doesn't guard it, and was refused where it does.

The needs of such runs are counted from each reply to a hold; a run of a job that isn't known any more counts as the whole server.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -88,8 +88,8 @@
     pub life: crashes::Life,
     /// Whether the server refuses what exceeds its capacity.
     pub enforces_capacity: bool,
-    /// The capacity before it shrank, and until when starts that fit it are accepted.
-    larger_capacity: Option<(job::Resources, u64)>,
+    /// Earlier capacities, and until when starts that fit them are accepted.
+    earlier_capacities: Vec<(job::Resources, u64)>,
     /// Whether the scheduler can't reach the server. Its runs continue.
     pub is_unreachable: bool,
     /// Whether every run fails at once.
@@ -119,7 +119,7 @@
             incarnation: 1,
             life: crashes::Life::Up,
             enforces_capacity: true,
-            larger_capacity: None,
+            earlier_capacities: Vec::new(),
             is_unreachable: false,
             fails_all: false,
             hangs: false,
@@ -579,7 +579,7 @@
         let until_ms = self.now_ms + SHRUNK_GRACE_MS;
         let server = self.server(name);
         let before = std::mem::replace(&mut server.entry.capacity, capacity);
-        server.larger_capacity = Some((before, until_ms));
+        server.earlier_capacities.push((before, until_ms));
     }
 
     /// Returns the number of runs on a server.
--- a/lib/fleet-model/src/orders.rs
+++ b/lib/fleet-model/src/orders.rs
@@ -159,9 +159,9 @@
         if is_over && server.enforces_capacity {
             return StartOutcome::Refused(StartRefusal::NoRoom);
         }
-        let larger = server.larger_capacity;
+        let mut earlier = server.earlier_capacities.iter();
         let is_in_grace =
-            larger.is_some_and(|(larger, until_ms)| self.now_ms < until_ms && fits(&larger));
+            earlier.any(|(capacity, until_ms)| self.now_ms < *until_ms && fits(capacity));
         if is_over && !is_in_grace {
             let record = (self.now_ms, server_name.to_owned(), name.clone());
             self.starts_over_capacity.push(record);
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -282,14 +282,19 @@
         reply: &HoldReply,
         now: Now,
     ) {
+        let mut unexpected = job::Resources::default();
         for entry in &reply.running {
             let (id, index) = (&entry.name.task.job, entry.name.task.index);
+            let open = self.jobs.get(id).filter(|job| job.has_task(index));
+            let need = open.map(|job| job.step(index).counted_need());
             let live = self
                 .jobs
                 .get_mut(id)
                 .and_then(|job| job.runs.get_mut(&index));
             let live = live.filter(|live| live.run == entry.name.run && &live.server == server_id);
             let Some(live) = live else {
+                // The need of a task whose job isn't known any more may be all that there is.
+                unexpected = unexpected.plus(&need.unwrap_or(ALL_RESOURCES));
                 let order = Order::Stop(server_id.clone(), entry.name.clone());
                 if !self.orders.contains(&order) {
                     self.orders.push(order);
@@ -312,6 +317,9 @@
                 self.sample_speed(id, index, f64::from(entry.percent) + ROUNDING_PERCENT, now);
             }
         }
+        if let Some(server) = self.servers.get_mut(server_id) {
+            server.unexpected = unexpected;
+        }
         self.control_pace(server_id, &reply.running, now);
         let reported: BTreeSet<(&id::JobId, job::TaskIndex, id::Run)> = reply
             .running
@@ -353,6 +361,13 @@
     }
 }
 
+/// More than any server has.
+const ALL_RESOURCES: job::Resources = job::Resources {
+    cpu_millicores: u64::MAX,
+    memory_mb: u64::MAX,
+    accelerators: u64::MAX,
+};
+
 /// Shortest time of work from which a speed sample is taken.
 const SPEED_SAMPLE_MIN_WORK_MS: u64 = 1_200;
 
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -66,6 +66,9 @@
     pub last_start_ms: u64,
     /// Resources used by the runs that may exist on the server.
     pub used: job::Resources,
+    /// Resources of runs that the last reply to a hold listed and the engine doesn't expect, such as
+    /// those of a job that has ended. They are being stopped.
+    pub unexpected: job::Resources,
     /// Until when the server counts as full after it refused a task for lack of resources, on the
     /// scheduler's clock.
     pub full_until_ms: u64,
@@ -99,6 +102,7 @@
             interference: interference::ServerTrack::default(),
             last_start_ms: 0,
             used: job::Resources::default(),
+            unexpected: job::Resources::default(),
             full_until_ms: 0,
             cold_until_ms: 0,
             numbers: placement::ServerNumbers::default(),
@@ -107,13 +111,17 @@
     }
 
     pub fn free(&self) -> job::Resources {
-        self.entry.capacity.minus(&self.used)
+        self.entry.capacity.minus(&self.occupied())
+    }
+
+    fn occupied(&self) -> job::Resources {
+        self.used.plus(&self.unexpected)
     }
 
     /// Whether the runs that may exist on the server need more than it has, as after a reduction of
     /// its capacity.
     pub fn is_over_capacity(&self) -> bool {
-        !self.entry.capacity.can_fit(&self.used)
+        !self.entry.capacity.can_fit(&self.occupied())
     }
 
     /// Whether the server can take new work: it is registered, isn't draining, hasn't been replaced,
