scheduler: limit the attempts that crash backend servers

The same cause in `camphorbeam serve`: an attempt that was lost with its server counted only among lost ones, of which an idempotent request has eight, so that it took down eight servers in turn before it ended as unknown. Links that fail and servers that crash were one and the same.

A server that replies again and has lost a member that may have started has crashed.

--- a/lib/model/src/record.rs
+++ b/lib/model/src/record.rs
@@ -182,6 +182,10 @@
     pub state: RequestState,
     /// Number of the latest attempt; 0 before the first.
     pub last_attempt: id::Attempt,
+    /// Attempts during which a backend server crashed that was running a member. Unlike the history,
+    /// never shortened.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashed_attempts: Vec<id::Attempt>,
     /// Checkpoint from which the next attempt resumes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub resume_from: Option<Arc<str>>,
--- a/lib/model/tests/test_record.rs
+++ b/lib/model/tests/test_record.rs
@@ -37,6 +37,7 @@
         accepted_at_unix_ms: 0,
         state: record::RequestState::Waiting,
         last_attempt: id::Attempt(0),
+        crashed_attempts: Vec::new(),
         resume_from: None,
         steps: vec![entry(0)],
         steps_dropped: 0,
--- a/lib/scheduler/src/ending.rs
+++ b/lib/scheduler/src/ending.rs
@@ -247,6 +247,10 @@
         job.phase,
         job::Phase::Ending(EndReason::LaunchFailed { .. })
     );
+    let crashed_attempts = outcome::crashed_attempts(zone, job);
+    if let Some(job) = zone.tables.jobs().get_mut(request) {
+        job.record.crashed_attempts = crashed_attempts;
+    }
     let may_be_listed = job
         .members
         .iter()
--- a/lib/scheduler/src/outcome.rs
+++ b/lib/scheduler/src/outcome.rs
@@ -37,7 +37,7 @@
 /// that is not idempotent waits for the status of each member that may have started. A cancellation
 /// wins over a further attempt. An attempt that never started is repeated in any case, a preempted
 /// one if it left a checkpoint or is idempotent. Failed and lost attempts of an idempotent request
-/// are repeated up to their limits; after that, or if the request is not idempotent, it fails if
+/// are repeated up to their limits, lost ones with a limit of their own for crashes; after that, or if the request is not idempotent, it fails if
 /// a member has reported a failure, and its outcome is unknown otherwise.
 pub(crate) fn determine(zone: &ZoneScheduler, job: &job::Job, reason: &EndReason) -> Outcome {
     let has_members = !job.members.is_empty();
@@ -53,6 +53,8 @@
         record.count_events(record::HistoryEvent::AttemptFailed) + 1 < settings.failed_attempts_max;
     let may_be_lost_again =
         record.count_events(record::HistoryEvent::AttemptLost) + 1 < settings.lost_attempts_max;
+    let crashes = crashed_attempts(zone, job).len();
+    let may_crash_again = crashes < settings.crashed_attempts_max;
     match failure {
         _ if is_finished => Outcome::Finish,
         _ if !spec.idempotent && is_awaiting_status(zone, job) => Outcome::Undetermined,
@@ -61,12 +63,33 @@
         None if checkpoint.is_some() => preempted(job, reason, checkpoint),
         None if spec.idempotent && is_preempted(reason) => preempted(job, reason, None),
         Some(failure) if spec.idempotent && may_fail_again => attempt_failed(job, failure),
-        None if spec.idempotent && may_be_lost_again => attempt_lost(job, &reason_text(reason)),
+        None if spec.idempotent && may_be_lost_again && may_crash_again => {
+            attempt_lost(job, &reason_text(reason))
+        }
         Some(failure) => failed(job, failure),
+        None if spec.idempotent && !may_crash_again => given_up(job, crashes),
         None => unknown(job, &reason_text(reason)),
     }
 }
 
+/// Returns the attempts during which a server crashed that was running a member, with this one: the
+/// server replies again and has lost the member.
+pub(crate) fn crashed_attempts(zone: &ZoneScheduler, job: &job::Job) -> Vec<id::Attempt> {
+    let servers = zone.tables.servers();
+    let is_listed =
+        |server: &id::BackendServerId| servers.get(server).is_some_and(|entry| entry.is_listed);
+    let has_crashed = job.members.iter().any(|tracked| {
+        tracked.state == MemberState::Gone
+            && tracked.may_have_started
+            && is_listed(&tracked.member.server)
+    });
+    let mut attempts = job.record.crashed_attempts.clone();
+    if has_crashed && !attempts.contains(&job.attempt) {
+        attempts.push(job.attempt);
+    }
+    attempts
+}
+
 /// Returns whether a server that does not respond now may still report what became of its member.
 fn is_awaiting_status(zone: &ZoneScheduler, job: &job::Job) -> bool {
     let servers = zone.tables.servers();
@@ -214,6 +237,21 @@
     Outcome::End(state, step)
 }
 
+fn given_up(job: &job::Job, crashes: usize) -> Outcome {
+    let reason = format!("given up: backend servers have crashed in {crashes} attempts");
+    let state = record::RequestState::Unknown {
+        attempt: job.attempt,
+        reason: reason.clone(),
+    };
+    let step = NewStep {
+        event: record::HistoryEvent::OutcomeUnknown,
+        attempt: job.attempt,
+        verdict: verdict::Verdict::MayHaveRun,
+        detail: reason,
+    };
+    Outcome::End(state, step)
+}
+
 fn unknown(job: &job::Job, reason: &str) -> Outcome {
     let state = record::RequestState::Unknown {
         attempt: job.attempt,
--- a/lib/scheduler/src/settings.rs
+++ b/lib/scheduler/src/settings.rs
@@ -40,6 +40,9 @@
     /// idempotent request is recorded as unknown. That of others is recorded as unknown at the
     /// first.
     pub lost_attempts_max: usize,
+    /// Number of attempts during which a backend server crashed at which an idempotent request isn't
+    /// started again.
+    pub crashed_attempts_max: usize,
     /// Number of workers that carry out decisions.
     pub worker_count: usize,
     /// Maximum time between two rounds of decisions.
--- a/lib/scheduler/tests/test_lease.rs
+++ b/lib/scheduler/tests/test_lease.rs
@@ -157,6 +157,7 @@
         queue_max: 100,
         failed_attempts_max: 3,
         lost_attempts_max: 8,
+        crashed_attempts_max: 3,
         worker_count: 1,
         decision_interval: Duration::from_millis(100),
     }
--- a/lib/server/src/accept.rs
+++ b/lib/server/src/accept.rs
@@ -275,6 +275,7 @@
         accepted_at_unix_ms: now_unix_ms,
         state: record::RequestState::Waiting,
         last_attempt: id::Attempt(0),
+        crashed_attempts: Vec::new(),
         resume_from: None,
         steps: vec![step],
         steps_dropped: 0,
--- a/lib/server/src/entry_host.rs
+++ b/lib/server/src/entry_host.rs
@@ -47,6 +47,10 @@
 /// started again.
 const LOST_ATTEMPTS_MAX: usize = 8;
 
+/// Number of attempts during which a backend server crashed after which a request isn't started
+/// again. Each of them costs the other tasks on that server.
+const CRASHED_ATTEMPTS_MAX: usize = 3;
+
 /// How often the scheduler lease is renewed within the time that it lasts.
 const RENEWALS_PER_LEASE: u32 = 3;
 
@@ -261,6 +265,7 @@
         queue_max: settings.queue_max,
         failed_attempts_max: FAILED_ATTEMPTS_MAX,
         lost_attempts_max: LOST_ATTEMPTS_MAX,
+        crashed_attempts_max: CRASHED_ATTEMPTS_MAX,
         worker_count: settings.worker_count,
         decision_interval: DECISION_INTERVAL,
     }
--- a/testing/src/backend_tasks.rs
+++ b/testing/src/backend_tasks.rs
@@ -23,6 +23,10 @@
     /// Whether every task of the request fails once its run time is over.
     #[serde(default)]
     pub fails: bool,
+    /// Whether every task of the request crashes its server once its run time is over. The server is
+    /// back at once and knows nothing of before.
+    #[serde(default)]
+    pub crashes_server: bool,
     /// Minimum length of each member's part of the answer; shorter parts are padded.
     #[serde(default)]
     pub answer_bytes: usize,
@@ -468,6 +472,14 @@
         self.last_event != before
     }
 
+    fn restart(&mut self) {
+        self.tasks.clear();
+        self.incarnation += 1;
+        self.highest_epoch = id::Epoch(0);
+        self.last_event = 0;
+        self.write_journal(journal::Event::ServerStarted, None, None);
+    }
+
     fn complete(&mut self, key: &task_model::TaskKey) {
         let Some(task) = self.tasks.get_mut(key) else {
             return;
@@ -477,6 +489,10 @@
             .as_ref()
             .map_or_else(|| Arc::from(""), |spec| Arc::clone(&spec.payload));
         let behavior = task_behavior(&payload);
+        if behavior.crashes_server {
+            self.restart();
+            return;
+        }
         if behavior.fails || self.fails_everything {
             let reason = "the task exited with status 1".to_owned();
             self.end(
