jobs: don't close a server for one job whose start it refuses as invalid

A start that a server refuses as invalid closed the server for 3 s, and the job went on to the next one at once, without end: with four servers in 10 s 16 starts, each of which closed one. The refusal was blamed on the server alone.

It counts like a failure now: the server is closed once several jobs are refused there, and cleared once the job is refused elsewhere; the next start of the unit is delayed by the delay of quick ends.

test_refused_job_does_not_close_the_servers_that_refuse_it failed before (16 starts) and passes.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -72,6 +72,8 @@
     pub work_ms: BTreeMap<job::TaskIndex, u64>,
     /// Whether the tasks fail on every server.
     pub always_fails: bool,
+    /// Whether every server refuses to start the tasks, as an order that it doesn't understand.
+    pub is_refused: bool,
     /// Whether tasks that have reached 100 percent run on.
     pub stays: bool,
     /// Ranks of the tasks that crash their servers, and when.
--- a/lib/fleet-model/src/orders.rs
+++ b/lib/fleet-model/src/orders.rs
@@ -147,6 +147,10 @@
         if server.life == Life::Replaced {
             return StartOutcome::Refused(StartRefusal::OtherServer);
         }
+        let behavior = self.task_behaviors.get(&name.task.job);
+        if behavior.is_some_and(|behavior| behavior.is_refused) {
+            return StartOutcome::Refused(StartRefusal::Invalid);
+        }
         let ended = server.highest_ended_runs.get(&name.task);
         if ended.is_some_and(|ended| *ended >= name.run) {
             return StartOutcome::Refused(StartRefusal::Outdated);
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -16,8 +16,8 @@
 /// resources.
 const FULL_PAUSE_MS: u64 = 300;
 
-/// How long a backend server is quarantined after it refused a start order because it is unhealthy
-/// or doesn't understand the order, or after a different server replied at its address.
+/// How long a backend server is quarantined after it refused a start order because it is unhealthy,
+/// or after a different server replied at its address.
 const UNHEALTHY_QUARANTINE_MS: u64 = 3_000;
 
 impl Engine {
@@ -206,7 +206,8 @@
                     server.full_until_ms = now.ms + FULL_PAUSE_MS;
                 }
             }
-            StartRefusal::Unhealthy | StartRefusal::OtherServer | StartRefusal::Invalid => {
+            StartRefusal::Invalid => self.start_refused_as_invalid(id, index, server_id, now),
+            StartRefusal::Unhealthy | StartRefusal::OtherServer => {
                 self.health
                     .quarantine(server_id, now.ms + UNHEALTHY_QUARANTINE_MS);
             }
@@ -234,6 +235,33 @@
         }
     }
 
+    /// Handles a start that a server has refused as invalid. Whether the server or the job is the
+    /// cause shows only when several jobs are refused there, or the job elsewhere too, so the
+    /// refusal counts like a failure of the server, and the next start of the unit is delayed.
+    fn start_refused_as_invalid(
+        &mut self,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        server_id: &id::BackendServerId,
+        now: Now,
+    ) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let unit = job.unit_of(index);
+        let Some(run) = job.runs.get(&index).map(|live| live.run) else {
+            return;
+        };
+        let has_wave = self.soundness.has_wave(now.ms);
+        self.health
+            .record_failure(id, (unit.first, run), server_id, has_wave, now.ms);
+        let failed_on = Some(server_id.clone());
+        let event = self
+            .restarts
+            .record_quick_end(id, unit, run, failed_on, now.ms);
+        self.events.extend(event);
+    }
+
     /// Marks a run as ending: the reply to a hold sent from now on either lists its end or, if the
     /// run isn't listed at all, proves that it is gone.
     pub(crate) fn await_end(&mut self, id: &id::JobId, index: job::TaskIndex, now: Now) {
--- a/lib/jobs/src/restarts.rs
+++ b/lib/jobs/src/restarts.rs
@@ -1,6 +1,6 @@
 //! Delays between the restarts of tasks that end at once again and again: long-running ones,
-//! fillers that refuse to be paced, and tasks whose starts are refused for a ticket that no terms
-//! require.
+//! fillers that refuse to be paced, and tasks whose starts are refused as invalid, or for a ticket
+//! that no terms require.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/lib/jobs/tests/test_job_semantics.rs
+++ b/lib/jobs/tests/test_job_semantics.rs
@@ -4,6 +4,7 @@
 
 use camphorbeam_fleet_model as support;
 use camphorbeam_fleet_model::{gang, step, RunRecord, Simulation, TaskBehavior};
+use camphorbeam_jobs::event::Event;
 use camphorbeam_jobs::orders::EndKind;
 use camphorbeam_jobs::progress::JobState;
 use camphorbeam_model::{id, job};
@@ -192,3 +193,19 @@
     sim.run(5_000);
     assert!(runs_of_job(&sim, &job).all(|record| record.ended_at_ms.is_none()));
 }
+
+// Guards against one job whose starts every server refuses, and that takes server after server out
+// of use.
+#[test]
+fn test_refused_job_does_not_close_the_servers_that_refuse_it() {
+    let mut sim = Simulation::new(1, 4, 0);
+    let id = id::JobId::new("refused").unwrap();
+    sim.task_behaviors.entry(id).or_default().is_refused = true;
+    sim.submit("refused", support::NORMAL, "b", vec![step(1, 1, 1_000)]);
+    sim.run(10_000);
+    let placed = |event: &&(u64, Event)| matches!(&event.1, Event::Placed { job, .. } if job.as_str() == "refused");
+    let starts = sim.events.iter().filter(placed).count();
+    assert!(starts <= 8, "{starts} starts");
+    let sound = sim.submit("sound", support::NORMAL, "b", vec![step(4, 8, 1_000)]);
+    assert!(sim.run_until(3_000, |sim| sim.state(&sound) == JobState::Completed));
+}
