host: test that the tasks of a replaced server start elsewhere at once

Through the scheduler, the store and the sender of orders, with servers that refuse holds for another one. It fails if the refusal only counts as a missing reply, as before. The servers of the fixture get addresses of their own: with one for all of them the task avoids the machine for some seconds.

--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -55,7 +55,7 @@
         Ok(fleet::ServerEntry {
             id: id::BackendServerId::new(&row.key.key)?,
             service: id::ServiceName::new("s")?,
-            address: ([127, 0, 0, 1], 1).into(),
+            address: ([127, 0, 0, 1], row.key.key.bytes().map(u16::from).sum()).into(),
             zone: id::ZoneName::new(row.value.as_deref().unwrap_or_default())?,
             is_draining: false,
             cold_ms: 0,
@@ -70,6 +70,8 @@
 struct RecordingServers {
     started_on: Mutex<Vec<String>>,
     delays_replies: AtomicBool,
+    /// Server for which another one replies.
+    replaced: Mutex<Option<String>>,
     tickets: Mutex<Vec<String>>,
 }
 
@@ -120,8 +122,11 @@
         orders::PaceOutcome::Accepted
     }
 
-    async fn hold(&self, _: &orders::Target, _: &orders::HoldOrder) -> orders::HoldOutcome {
+    async fn hold(&self, target: &orders::Target, _: &orders::HoldOrder) -> orders::HoldOutcome {
         task::sleep(Duration::from_millis(1)).await;
+        if self.replaced.lock().unwrap().as_deref() == Some(target.server.as_str()) {
+            return orders::HoldOutcome::OtherServer;
+        }
         orders::HoldOutcome::Renewed(orders::HoldReply {
             incarnation: fleet::Incarnation::default(),
             server_ms: 1,
@@ -400,6 +405,32 @@
     scheduler.stop();
 }
 
+// Guards against runs that wait for a lease although another server replies for theirs, and against
+// a loss that isn't stored with the job.
+#[test]
+fn test_scheduler_starts_the_tasks_of_a_replaced_server_elsewhere_at_once() {
+    let fixture = Fixture::new();
+    fixture.put("registry", "a", "za");
+    let id = id::JobId::new("00000000000000e1").unwrap();
+    fixture.put_job(&id);
+    let scheduler = fixture.start_scheduler();
+    fixture.await_that(&scheduler, 1_500, || fixture.starts() == ["a"]);
+    fixture.put("registry", "b", "zb");
+    *fixture.servers.replaced.lock().unwrap() = Some("a".to_owned());
+    fixture.await_that(&scheduler, 3_000, || {
+        fixture.starts().contains(&"b".to_owned())
+    });
+    let text = fixture.store.inner.value(&rows::progress_key(&id)).unwrap();
+    let progress: Progress = serde_json::from_str(&text).unwrap();
+    let lost_on: Vec<&str> = progress
+        .crashes
+        .iter()
+        .map(|entry| entry.server.as_str())
+        .collect();
+    assert_eq!(lost_on, ["a"]);
+    scheduler.stop();
+}
+
 /// The feed of the store may go silent without an error, for example when it forgets its history.
 #[test]
 fn test_scheduler_learns_of_jobs_within_a_second_while_the_feed_is_silent() {
