jobs: keep the crashes of several deadly tasks apart

When another job was given up, the entries for its servers were removed from all other jobs: by server id, which a server keeps through several crashes, and also from tasks that crash servers themselves, so that their count began anew. A loss that was resolved touched earlier crashes of the same server too.

A crash is identified by server and incarnation.

--- a/lib/fleet-model/src/crashes.rs
+++ b/lib/fleet-model/src/crashes.rs
@@ -97,7 +97,17 @@
             }
         }
         for (name, cause) in causes {
-            self.end_life(&name, Some(cause), Some(self.restart_ms));
+            match self.keeps_ids {
+                true => {
+                    self.crash(&name);
+                    self.crash_records.push(CrashRecord {
+                        at_ms: self.now_ms,
+                        server: name,
+                        cause: Some(cause),
+                    });
+                }
+                false => self.end_life(&name, Some(cause), Some(self.restart_ms)),
+            }
         }
         let now_ms = self.now_ms;
         let is_back = |server: &ModelServer| matches!(server.life, Life::Down { back_at_ms: Some(at_ms) } if at_ms <= now_ms);
--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -204,7 +204,9 @@
     pub run_records: Vec<RunRecord>,
     /// Whether the store accepts no writes.
     pub is_store_unavailable: bool,
-    /// Time until a server that a task has crashed is back.
+    /// Whether servers that tasks crash are back at once, under their ids.
+    pub keeps_ids: bool,
+    /// Time until a server that a task has crashed is back under a new id.
     pub restart_ms: u64,
     /// Starts beyond the capacity of a server that doesn't enforce it, and when they were.
     pub starts_over_capacity: Vec<(u64, String, RunName)>,
@@ -349,6 +351,7 @@
             stored: BTreeMap::new(),
             run_records: Vec::new(),
             is_store_unavailable: false,
+            keeps_ids: false,
             restart_ms: crashes::RESTART_MS,
             starts_over_capacity: Vec::new(),
             crash_records: Vec::new(),
--- a/lib/jobs/src/crash_evidence.rs
+++ b/lib/jobs/src/crash_evidence.rs
@@ -38,6 +38,8 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Blame {
+    /// A task of another job has been found to be the cause.
+    Cleared,
     /// Something else explains the loss better.
     Bystander,
     /// Tasks of several jobs explain it equally well.
@@ -49,7 +51,7 @@
 impl Blame {
     fn weight(self) -> u32 {
         match self {
-            Self::Bystander => 0,
+            Self::Cleared | Self::Bystander => 0,
             Self::Shared => 1,
             Self::Sole => 2,
         }
@@ -58,6 +60,7 @@
     /// The name used in logs.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Cleared => "cleared",
             Self::Bystander => "bystander",
             Self::Shared => "shared",
             Self::Sole => "sole",
@@ -174,7 +177,14 @@
         self.entries.iter().copied().filter(|entry| entry.is_proven)
     }
 
-    /// Number of crashes.
+    /// The entries that still count against the task.
+    pub fn suspicions(&self) -> impl Iterator<Item = &'a CrashEntry> + '_ {
+        let entries = self.entries.iter().copied();
+        entries.filter(|entry| entry.blame != Blame::Cleared)
+    }
+
+    /// Number of crashes, also of those that another task has caused: more than one task may crash
+    /// servers.
     pub fn crashes(&self) -> usize {
         self.proven().count()
     }
@@ -198,9 +208,9 @@
 
     /// How the next run is kept apart from other work.
     pub fn isolation(&self) -> Isolation {
-        match self.entries.as_slice() {
-            [] => Isolation::None,
-            [entry] if entry.blame == Blame::Bystander => Isolation::None,
+        let blames: Vec<Blame> = self.suspicions().map(|entry| entry.blame).collect();
+        match blames.as_slice() {
+            [] | [Blame::Bystander] => Isolation::None,
             [_] => Isolation::Probation,
             [_, _, ..] => Isolation::Exclusive,
         }
--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-use camphorbeam_model::{id, job};
+use camphorbeam_model::{fleet, id, job};
 
 use crate::crash_evidence::{Blame, CrashEntry, Evidence, Isolation, ServerLife};
 use crate::engine::{Engine, Now};
@@ -45,11 +45,27 @@
 /// the fleet if no task explains it.
 const DOUBT_MS: u64 = 60_000;
 
+/// Identifies a crash: a server may crash more than once under its id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Crash {
+    server: id::BackendServerId,
+    incarnation: Option<fleet::Incarnation>,
+}
+
+impl Crash {
+    fn of(entry: &CrashEntry) -> Self {
+        Self {
+            server: entry.server.clone(),
+            incarnation: entry.life.and_then(|life| life.incarnation),
+        }
+    }
+}
+
 /// A crash that no given up task explains.
 #[derive(Clone, Debug)]
 struct UnexplainedCrash {
     at_ms: u64,
-    server: id::BackendServerId,
+    crash: Crash,
     jobs: BTreeSet<id::JobId>,
 }
 
@@ -92,10 +108,10 @@
         others.next().is_some()
     }
 
-    /// Removes the crashes of `servers`, which a given up task explains.
-    fn explain(&mut self, servers: &BTreeSet<id::BackendServerId>) {
+    /// Removes crashes that a given up task explains.
+    fn explain(&mut self, explained: &[Crash]) {
         self.unexplained.retain(|_, crashes| {
-            crashes.retain(|crash| !servers.contains(&crash.server));
+            crashes.retain(|known| !explained.contains(&known.crash));
             !crashes.is_empty()
         });
     }
@@ -199,7 +215,10 @@
             let of_address = self.crashes.unexplained.entry(life.address).or_default();
             of_address.push(UnexplainedCrash {
                 at_ms: now.ms,
-                server: id.clone(),
+                crash: Crash {
+                    server: id.clone(),
+                    incarnation: life.incarnation,
+                },
                 jobs,
             });
         }
@@ -257,11 +276,12 @@
         let is_same =
             |entry: &&CrashEntry| entry.life.is_some_and(|life| Some(life.address) == address);
         let is_same_machine = evidence.entries().iter().any(is_same);
+        let is_known = evidence.suspicions().next().is_some();
         Some(LostRun {
             task,
             run: live.run,
             is_recent,
-            is_known: !evidence.entries().is_empty(),
+            is_known,
             is_same_machine,
             has_begun: live.is_confirmed,
             job: id,
@@ -311,13 +331,15 @@
         };
         let entries = &mut job.progress.crashes;
         let mut tasks = Vec::new();
-        for entry in entries.iter_mut().filter(|entry| &entry.server == server) {
+        // The server may have crashed in an earlier life too.
+        let is_unproven = |entry: &CrashEntry| &entry.server == server && !entry.is_proven;
+        if is_same_life {
+            entries.retain(|entry| !is_unproven(entry));
+        }
+        for entry in entries.iter_mut().filter(|entry| is_unproven(entry)) {
             entry.is_proven = true;
             tasks.push(entry.task());
         }
-        if is_same_life {
-            entries.retain(|entry| &entry.server != server);
-        }
         job.mark_changed();
         for task in tasks {
             self.give_up_if_deadly(id, task, now);
@@ -358,9 +380,9 @@
             let _ = write!(reason, "{separator}{} in run {}", entry.server, entry.run.0);
         }
         reason.push(')');
-        let caused = evidence.entries().iter();
+        let caused = evidence.suspicions();
         let caused = caused.filter(|entry| entry.blame != Blame::Bystander);
-        let servers: BTreeSet<_> = caused.map(|entry| entry.server.clone()).collect();
+        let crashes: Vec<Crash> = caused.map(Crash::of).collect();
         self.events.push(Event::GivenUp {
             job: id.clone(),
             task,
@@ -368,19 +390,25 @@
         });
         job.progress.failure = Some(reason.into());
         self.end_job(id, JobState::Failed, now);
-        self.crashes.explain(&servers);
-        self.clear_neighbours(id, &servers);
+        self.crashes.explain(&crashes);
+        self.clear_neighbours(id, &crashes);
     }
 
-    /// Removes the entries of other jobs for crashes of `servers`, which the job `cause` explains.
-    fn clear_neighbours(&mut self, cause: &id::JobId, servers: &BTreeSet<id::BackendServerId>) {
+    /// Clears other jobs of `crashes`, which the job `cause` explains.
+    fn clear_neighbours(&mut self, cause: &id::JobId, crashes: &[Crash]) {
         for job in self.jobs.values_mut().filter(|job| &job.id != cause) {
-            let entries = job.progress.crashes.len();
-            let crashes = &mut job.progress.crashes;
-            crashes.retain(|entry| !servers.contains(&entry.server));
-            if crashes.len() < entries {
-                job.mark_changed();
+            let entries = job.progress.crashes.iter_mut();
+            let is_explained = |entry: &&mut CrashEntry| {
+                entry.blame != Blame::Cleared && crashes.contains(&Crash::of(entry))
+            };
+            let explained: Vec<_> = entries.filter(is_explained).collect();
+            if explained.is_empty() {
+                continue;
             }
+            for entry in explained {
+                entry.blame = Blame::Cleared;
+            }
+            job.mark_changed();
         }
     }
 
--- a/lib/jobs/tests/test_crashes.rs
+++ b/lib/jobs/tests/test_crashes.rs
@@ -279,7 +279,7 @@
     assert!(sim.run_until(60_000, is_over));
     sim.run(200);
     let blamed = sim.stored[&beside].0.crashes.iter();
-    let blamed = blamed.filter(|entry| entry.blame != Blame::Bystander);
+    let blamed = blamed.filter(|entry| matches!(entry.blame, Blame::Shared | Blame::Sole));
     assert_eq!(blamed.count(), 0, "{:?}", sim.stored[&beside].0.crashes);
     assert!(sim.run_until(90_000, |sim| sim.state(&beside) == JobState::Completed));
 }
@@ -302,3 +302,37 @@
     assert_eq!(sim.state(&job), JobState::Running);
     assert_eq!(sim.stored[&job].0.crashes, Vec::new());
 }
+
+// Guards against a crash that is taken for another one of the same server, and against a task whose
+// crashes are forgotten because another task is found to crash servers too.
+#[rstest]
+fn test_crashes_of_several_deadly_jobs_are_told_apart(
+    #[values(false, true)] keeps_ids: bool,
+    #[values(1, 4)] jobs: usize,
+    #[values(0, 700)] run_time_ms: u64,
+) {
+    let mut sim = Simulation::new(1, 6, 0);
+    sim.keeps_ids = keeps_ids;
+    let others = submit_background(&mut sim, 6);
+    let trigger = CrashTrigger {
+        run_time_ms,
+        percent: 0.0,
+    };
+    let mut deadly = Vec::new();
+    for number in 0..jobs {
+        let name = format!("deadly-{number}");
+        sim.make_deadly(&name, trigger);
+        let steps = vec![gang(2, 1, 6_000)];
+        deadly.push(sim.submit(&name, support::NORMAL, "b", steps));
+        sim.run(400);
+    }
+    sim.run(150_000);
+    sim.assert_crash_budget();
+    for job in deadly {
+        assert_eq!(sim.state(&job), JobState::Failed);
+    }
+    for job in others {
+        assert_eq!(sim.state(&job), JobState::Completed);
+    }
+    sim.assert_no_duplicate_runs();
+}
