jobs: free all members of a gang at once when their server has restarted

A gang with several members on a restarted server waited 2 to 5 s longer than a single task: its first lost member had the others stopped, and a stop waits for the next holds, although the restart proves that they are gone. Runs whose start was confirmed and that the new life doesn't list, also not as ended, are removed with the restart.

test_crashes_restarted_server_frees_all_members_of_a_gang_at_once failed before and passes.

--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -471,6 +471,7 @@
                     Some(ended) => {
                         self.record_restart_loss(id, ended, reply, now);
                         self.handle_restart(id, now);
+                        self.remove_runs_of_ended_life(id, reply, now);
                     }
                     None => self.compare_with_restored_life(id, reply, now),
                 }
--- a/lib/jobs/src/server_loss.rs
+++ b/lib/jobs/src/server_loss.rs
@@ -6,9 +6,15 @@
 use camphorbeam_model::{fleet, id};
 
 use crate::crash_evidence::ServerLife;
-use crate::engine::{Engine, Now};
+use crate::engine::{self, Engine, Now};
 use crate::event::Event;
-use crate::orders::HoldReply;
+use crate::orders::{HoldReply, RunName};
+
+/// The runs that exist, or have ended, in the life of a server that has sent `reply`.
+fn runs_of_life(reply: &HoldReply) -> impl Iterator<Item = &RunName> {
+    let running = reply.running.iter().map(|entry| &entry.name);
+    running.chain(reply.ended.iter().map(|end| &end.name))
+}
 
 impl Engine {
     /// Records that another backend server has replied to a hold for `id` at `address`. Only one
@@ -28,7 +34,7 @@
     }
 
     /// Records that a server has restarted under its id, so that its incarnation `ended` has
-    /// crashed. Runs that the new one lists are its own.
+    /// crashed. Runs that the new one lists, also as ended, are its own.
     pub(crate) fn record_restart_loss(
         &mut self,
         id: &id::BackendServerId,
@@ -36,10 +42,7 @@
         reply: &HoldReply,
         now: Now,
     ) {
-        let listed = reply.running.iter().map(|entry| {
-            let task = &entry.name.task;
-            (&task.job, task.index, entry.name.run)
-        });
+        let listed = runs_of_life(reply).map(|name| (&name.task.job, name.task.index, name.run));
         let life = self.life_of(id).map(|life| ServerLife {
             incarnation: Some(ended),
             ..life
@@ -47,6 +50,29 @@
         self.record_server_loss(id, life, true, &listed.collect(), now);
     }
 
+    /// Removes the runs that were present before a server restarted, also those that are being
+    /// stopped. Others may still be started by an order that got no reply.
+    pub(crate) fn remove_runs_of_ended_life(
+        &mut self,
+        id: &id::BackendServerId,
+        reply: &HoldReply,
+        now: Now,
+    ) {
+        for (job, index) in self.runs_on(id) {
+            // The removal of another member may have removed the run.
+            let live = self.jobs.get(&job).and_then(|open| open.runs.get(&index));
+            let Some(live) = live.filter(|live| live.is_confirmed) else {
+                continue;
+            };
+            let name = engine::run_name(&job, index, live.run);
+            let server = self.servers.get(id);
+            let may_start = server.is_some_and(|server| server.may_still_start(&name, now.ms));
+            if !may_start && !runs_of_life(reply).any(|of_life| of_life == &name) {
+                self.remove_lost_run(&job, index, now);
+            }
+        }
+    }
+
     /// Handles the first reply of a server that an earlier scheduler has placed runs on.
     pub(crate) fn compare_with_restored_life(
         &mut self,
--- a/lib/jobs/tests/test_crashes.rs
+++ b/lib/jobs/tests/test_crashes.rs
@@ -336,3 +336,19 @@
     }
     sim.assert_no_duplicate_runs();
 }
+
+// Guards against a gang that waits for stops of members that went with their restarted server.
+#[test]
+fn test_crashes_restarted_server_frees_all_members_of_a_gang_at_once() {
+    let mut sim = Simulation::new(1, 2, 0);
+    sim.hold_interval_ms = 1_000;
+    let job = sim.submit("j1", support::NORMAL, "b", vec![gang(4, 2, 4_000)]);
+    sim.run(2_000);
+    let server = sim.run_records[0].server.clone();
+    assert_eq!(sim.running_on(&server), 4);
+    sim.crash(&server);
+    sim.run(1_000 + RESTART_MARGIN_MS);
+    assert_eq!(sim.open_runs("j1").count(), 4);
+    sim.run(6_000);
+    assert_eq!(sim.state(&job), JobState::Completed);
+}
