jobs: count starts after the third crash, however they end

BUDGET limits starts, not crashes: after three crashes a task that had not been blamed for all of them was started again as often as its runs ended in some other way (no progress, preempted, out of reach) instead of crashing.

After the third crash with a confirmed run two more starts are allowed; then the task is given up. test_crashes_budget_counts_starts_that_do_not_crash failed before (18 starts) and passes.

--- a/lib/jobs/src/crash_evidence.rs
+++ b/lib/jobs/src/crash_evidence.rs
@@ -23,6 +23,9 @@
 /// the third crash are allowed.
 const CRASHES_MAX: usize = 5;
 
+/// Number of starts after the third crash, whether or not they crash a server too.
+const LATER_STARTS_MAX: u32 = 2;
+
 /// Number of losses without proof from which on the next start is delayed.
 const UNPROVEN_MAX: usize = 3;
 
@@ -206,6 +209,14 @@
         }
     }
 
+    /// Whether the task is given up in place of another start after `last_run`, since it has been
+    /// started often enough after its third crash.
+    pub fn is_out_of_starts(&self, last_run: id::Run) -> bool {
+        let mut confirmed = self.proven().filter(|entry| entry.has_begun);
+        let third = confirmed.nth(CRASHES_MIN - 1);
+        third.is_some_and(|third| last_run.0 >= third.run.0 + LATER_STARTS_MAX)
+    }
+
     /// How the next run is kept apart from other work.
     pub fn isolation(&self) -> Isolation {
         let blames: Vec<Blame> = self.suspicions().map(|entry| entry.blame).collect();
--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -13,7 +13,7 @@
 use crate::event::Event;
 use crate::live_run::RunPhase;
 use crate::open_job::{OpenJob, PlacementUnit};
-use crate::progress::JobState;
+use crate::progress::{JobState, TaskState};
 use crate::server::Server;
 
 /// A start explains the loss of its server if the server hasn't replied for this long after it.
@@ -359,6 +359,23 @@
         }
     }
 
+    /// Gives up the jobs of which a waiting task may not be started again.
+    pub(crate) fn give_up_waiting(&mut self, now: Now) {
+        let suspected = self
+            .jobs
+            .values()
+            .filter(|job| !job.progress.crashes.is_empty());
+        let tasks: BTreeSet<(id::JobId, job::TaskIndex)> = suspected
+            .flat_map(|job| {
+                let entries = job.progress.crashes.iter();
+                entries.map(|entry| (job.id.clone(), entry.task()))
+            })
+            .collect();
+        for (id, task) in tasks {
+            self.give_up_if_deadly(&id, task, now);
+        }
+    }
+
     /// Ends the job of a task that has crashed several servers.
     fn give_up_if_deadly(&mut self, id: &id::JobId, task: job::TaskIndex, now: Now) {
         let Some(job) = self.jobs.get_mut(id) else {
@@ -366,7 +383,11 @@
         };
         let evidence = Evidence::of(&job.progress.crashes, task);
         let are_spontaneous = now.ms < self.crashes.spontaneous_until_ms;
-        if job.progress.state.is_final() || !evidence.is_deadly(are_spontaneous) {
+        let is_waiting = job.progress.task_state(task) == TaskState::Waiting;
+        let last_run = job.progress.task(task).run;
+        let is_given_up = evidence.is_deadly(are_spontaneous)
+            || (is_waiting && evidence.is_out_of_starts(last_run));
+        if job.progress.state.is_final() || !is_given_up {
             return;
         }
         let crashes = evidence.entries().iter().filter(|entry| entry.is_proven);
@@ -422,13 +443,16 @@
         }
     }
 
-    /// Whether a unit waits because too many losses of its servers are not explained.
+    /// Whether a unit waits because too many losses of its servers are not explained, or because a
+    /// task of it is about to be given up.
     pub(crate) fn waits_after_losses(&self, id: &id::JobId, unit: PlacementUnit, now: Now) -> bool {
-        let crashes = &self.jobs[id].progress.crashes;
-        !crashes.is_empty()
+        let progress = &self.jobs[id].progress;
+        !progress.crashes.is_empty()
             && unit.members().any(|task| {
-                let until_unix_ms = Evidence::of(crashes, task).delayed_until_unix_ms();
+                let evidence = Evidence::of(&progress.crashes, task);
+                let until_unix_ms = evidence.delayed_until_unix_ms();
                 until_unix_ms.is_some_and(|until_unix_ms| now.unix_ms < until_unix_ms)
+                    || evidence.is_out_of_starts(progress.task(task).run)
             })
     }
 
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -61,6 +61,7 @@
             self.next_scan_ms = now.ms + SCAN_INTERVAL_MS;
             self.update_median_speed();
             self.crashes.expire(now.ms);
+            self.give_up_waiting(now);
             self.late_starts.retain(|_, until_ms| now.ms < *until_ms);
             self.leave_evacuated_zones(now);
             self.update_reach(now);
--- a/lib/jobs/tests/test_crashes.rs
+++ b/lib/jobs/tests/test_crashes.rs
@@ -352,3 +352,23 @@
     sim.run(6_000);
     assert_eq!(sim.state(&job), JobState::Completed);
 }
+
+// Guards against further starts of a task after three crashes that end in some other way.
+#[test]
+fn test_crashes_budget_counts_starts_that_do_not_crash() {
+    let mut sim = Simulation::new(4, 4, 0);
+    let trigger = CrashTrigger {
+        run_time_ms: 1_500,
+        percent: 0.0,
+    };
+    sim.make_deadly("deadly", trigger);
+    let job = sim.submit("deadly", support::NORMAL, "b", vec![step(1, 1, 6_000)]);
+    assert!(sim.run_until(60_000, |sim| sim.crash_records.len() == 3));
+    sim.task_behaviors.clear();
+    for server in sim.servers.values_mut() {
+        server.hangs = true;
+    }
+    sim.run(60_000);
+    sim.assert_crash_budget();
+    assert_eq!(sim.state(&job), JobState::Failed);
+}
