--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -36,7 +36,7 @@
 const FEW_SERVERS: usize = 8;
 
 /// How long after a loss a task waits for a server on which nothing else has just been started.
-const QUIET_SERVER_WAIT_MS: u64 = 10_000;
+const QUIET_SERVER_WAIT_MS: u64 = 4_000;
 
 /// How long after a loss a task that needs a server of its own waits for one without any run.
 const EMPTY_SERVER_WAIT_MS: u64 = 2_000;
@@ -116,6 +116,15 @@
         });
     }
 
+    /// Removes what is known about an ended job.
+    pub fn forget(&mut self, job: &id::JobId) {
+        self.unproven.retain(|_, (_, jobs)| {
+            jobs.remove(job);
+            !jobs.is_empty()
+        });
+    }
+
+    /// Ends the watch of a run.
     pub fn unwatch(&mut self, server: &id::BackendServerId, run: &(id::JobId, job::TaskIndex)) {
         if let Some(runs) = self.watched.get_mut(server) {
             runs.remove(run);
@@ -265,7 +274,8 @@
                 .first_present_ms
                 .is_some_and(|since_ms| now.ms >= since_ms + EXCLUSIVE_MS);
         let is_sent = !matches!(live.phase, RunPhase::AwaitingWrite { .. });
-        if job.progress.state.is_final() || !is_sent || is_proven_long {
+        let is_done = job.progress.task_state(task) == TaskState::Done;
+        if job.progress.state.is_final() || is_done || !is_sent || is_proven_long {
             return None;
         }
         let is_recent = live
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -253,6 +253,8 @@
         let step = |unit: &PlacementUnit| (unit.first.occurrence, unit.first.step);
         for units in ready_job.units.chunk_by(|a, b| step(a) == step(b)) {
             let id = &ready_job.job;
+            // Looked up once, since few jobs have any.
+            let has_losses = !self.jobs[id].progress.crashes.is_empty();
             let startable = units.iter().copied().filter(|&unit| {
                 let is_claimed =
                     !self.claims.is_empty() && self.claims.contains_key(&(id.clone(), unit));
@@ -260,7 +262,7 @@
                     && self.is_waiting(id, unit)
                     && !self.may_start_late(id, unit)
                     && self.restarts.is_due(id, unit, now.ms)
-                    && !self.waits_after_losses(id, unit, now)
+                    && !(has_losses && self.waits_after_losses(id, unit, now))
             });
             let startable: Vec<PlacementUnit> = startable.collect();
             let waits = startable
@@ -275,7 +277,7 @@
             let (restarted, startable): (Vec<_>, Vec<_>) =
                 startable.into_iter().partition(|&unit| {
                     self.restarts.has_quick_end(id, unit)
-                        || self.isolation(id, unit) != Isolation::None
+                        || (has_losses && self.isolation(id, unit) != Isolation::None)
                 });
             for unit in restarted {
                 self.place_step(id, &[unit], round, now);
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -636,6 +636,7 @@
             self.health.forget(id);
             self.soundness.forget(id);
             self.restarts.forget(id);
+            self.crashes.forget(id);
             self.refused_stops.forget(id);
             self.speeds.forget(id);
         }
--- a/lib/jobs/src/server_loss.rs
+++ b/lib/jobs/src/server_loss.rs
@@ -96,6 +96,9 @@
         replied: ServerLife,
         now: Now,
     ) {
+        if self.unregistered.is_empty() {
+            return;
+        }
         let is_replaced = |(id, life): &(&id::BackendServerId, &ServerLife)| {
             *id != server
                 && life.address == replied.address
