--- a/lib/jobs/src/crashes.rs
+++ b/lib/jobs/src/crashes.rs
@@ -66,12 +66,15 @@
 struct UnexplainedCrash {
     at_ms: u64,
     crash: Crash,
+    /// Jobs that may have caused it.
     jobs: BTreeSet<id::JobId>,
 }
 
-/// Crashes by address, and the suspected tasks that run.
+/// What the scheduler remembers of lost servers beyond the entries in the progress of jobs. A
+/// successor begins without most of it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Crashes {
+    /// By the address of the server, which stands for the machine.
     unexplained: BTreeMap<SocketAddr, Vec<UnexplainedCrash>>,
     /// Runs of suspected tasks, by server.
     watched: BTreeMap<id::BackendServerId, BTreeSet<(id::JobId, job::TaskIndex)>>,
@@ -146,14 +149,15 @@
     is_known: bool,
     /// Whether the task was on the same machine when it was lost before.
     is_same_machine: bool,
+    /// Whether the server has confirmed the start.
     has_begun: bool,
 }
 
-/// The jobs that explain the loss of a server best.
+/// The runs that explain the loss of their server best; none if the server itself is the likely
+/// cause.
 ///
-/// A task that crashes servers mostly does so as it begins, and has been on another server that was
-/// lost. Without a task of either kind the server itself is the likely cause.
-/// While servers crash by themselves, a task that has been there for longer explains nothing.
+/// A task that crashes servers mostly does so as it begins, and was on another server that was lost
+/// before. While servers crash by themselves, a task that began earlier explains nothing.
 fn best_explanations(runs: &[LostRun], are_spontaneous: bool) -> Vec<&LostRun> {
     let select = |is_selected: fn(&LostRun) -> bool| -> Vec<&LostRun> {
         let others = runs.iter().filter(|run| !run.is_same_machine);
--- a/lib/scheduler/src/outcome.rs
+++ b/lib/scheduler/src/outcome.rs
@@ -67,8 +67,18 @@
             attempt_lost(job, &reason_text(reason))
         }
         Some(failure) => failed(job, failure),
-        None if spec.idempotent && !may_crash_again => given_up(job, crashes),
-        None => unknown(job, &reason_text(reason)),
+        None if spec.idempotent && !may_crash_again => {
+            let reason = format!("given up: backend servers have crashed in {crashes} attempts");
+            unknown(job, &reason, reason.clone())
+        }
+        None => {
+            let reason = reason_text(reason);
+            let detail = match spec.idempotent {
+                true => format!("{reason}; too many attempts were lost"),
+                false => format!("{reason}; not idempotent, so it is not started again"),
+            };
+            unknown(job, &reason, detail)
+        }
     }
 }
 
@@ -237,22 +247,7 @@
     Outcome::End(state, step)
 }
 
-fn given_up(job: &job::Job, crashes: usize) -> Outcome {
-    let reason = format!("given up: backend servers have crashed in {crashes} attempts");
-    let state = record::RequestState::Unknown {
-        attempt: job.attempt,
-        reason: reason.clone(),
-    };
-    let step = NewStep {
-        event: record::HistoryEvent::OutcomeUnknown,
-        attempt: job.attempt,
-        verdict: verdict::Verdict::MayHaveRun,
-        detail: reason,
-    };
-    Outcome::End(state, step)
-}
-
-fn unknown(job: &job::Job, reason: &str) -> Outcome {
+fn unknown(job: &job::Job, reason: &str, detail: String) -> Outcome {
     let state = record::RequestState::Unknown {
         attempt: job.attempt,
         reason: reason.to_owned(),
@@ -261,10 +256,7 @@
         event: record::HistoryEvent::OutcomeUnknown,
         attempt: job.attempt,
         verdict: verdict::Verdict::MayHaveRun,
-        detail: match job.record.spec.idempotent {
-            true => format!("{reason}; too many attempts were lost"),
-            false => format!("{reason}; not idempotent, so it is not started again"),
-        },
+        detail,
     };
     Outcome::End(state, step)
 }
