--- a/lib/jobs/src/evacuation.rs
+++ b/lib/jobs/src/evacuation.rs
@@ -22,8 +22,9 @@
 /// Like [`EVACUATED_REASON`], if the requests to evacuate zones weren't confirmed in time.
 const UNCONFIRMED_REASON: &str = "evacuations unconfirmed";
 
-/// Like [`EVACUATED_REASON`], if the server's capacity shrank before the start.
-const SHRUNK_REASON: &str = "capacity has shrunk";
+/// Like [`EVACUATED_REASON`], if the server has less room than at the decision: its capacity has
+/// shrunk, or it lists runs that nobody expects.
+const NO_ROOM_REASON: &str = "no room left";
 
 /// Like [`EVACUATED_REASON`], if the ticket of the run has ended before its start.
 const NO_TICKET_REASON: &str = "ticket ended";
@@ -252,7 +253,7 @@
             () if server.is_some_and(|server| self.is_evacuated(server)) => EVACUATED_REASON,
             () if self.is_vacated(&server_id) => maintenance::MAINTENANCE_REASON,
             () if !self.has_confirmed_evacuations(now) => UNCONFIRMED_REASON,
-            () if server.is_some_and(Server::is_over_capacity) => SHRUNK_REASON,
+            () if server.is_some_and(Server::is_over_capacity) => NO_ROOM_REASON,
             () => NO_TICKET_REASON,
         };
         for member in unit.members() {
