host: bound the loops that follow a feed when its replies don't wait

Cause: on six cores the three tests of test_machines failed in every run. The feed of the in-memory store replied at once, and the loops of the inbox, the registry and the terms called it again without a pause, so that each took an executor thread (925 and 11,119 calls in a second of the test's clock).

Measured: test_machines passes with one, two and six threads, and the tests of lib/host with one; the new test fails without the pause. Not bounded: a backend server that replies to a hold at once with nothing new.

--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod call;
 pub mod entry_host;
 pub mod event_log;
+pub mod feed_pacing;
 pub mod gateway;
 pub mod host_registry;
 pub mod leadership;
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -24,8 +24,8 @@
 use futures::future;
 
 use crate::{
-    advisor, event_log, leadership, learned_state, machines, metrics, operator_requests,
-    platform_schema, relay, rows, terms_watcher, wakeup,
+    advisor, event_log, feed_pacing, leadership, learned_state, machines, metrics,
+    operator_requests, platform_schema, relay, rows, terms_watcher, wakeup,
 };
 
 /// Maximum time that the decision loop waits for a wakeup while there are open jobs.
@@ -422,6 +422,7 @@
     }
 
     async fn watch_inbox(self: Arc<Self>, mut version: u64) {
+        let mut pacing = feed_pacing::FeedPacing::new(self.deps.clock.clone());
         while !self.is_stopped() {
             let polling = self
                 .deps
@@ -438,12 +439,21 @@
             match changes {
                 Ok(store::Changes::Rows(changes)) if changes.version >= version => {
                     version = changes.version;
-                    self.apply_inbox(&changes, &[]);
+                    match changes.rows.is_empty() {
+                        true => pacing.record_unproductive().await,
+                        false => {
+                            pacing.record_productive();
+                            self.apply_inbox(&changes, &[]);
+                        }
+                    }
                 }
                 // The reply is older than what is known, so it holds nothing new.
                 Ok(store::Changes::Rows(_)) => self.deps.clock.sleep(STORE_RETRY_DELAY).await,
                 Ok(store::Changes::HistoryGone) | Err(_) => match self.read_inbox().await {
-                    Some(newest) => version = newest.max(version),
+                    Some(newest) => {
+                        version = newest.max(version);
+                        pacing.record_unproductive().await;
+                    }
                     None => self.deps.clock.sleep(STORE_RETRY_DELAY).await,
                 },
             }
@@ -462,6 +472,7 @@
     async fn watch_server_registry(self: Arc<Self>, mut version: u64) {
         let table = self.deps.schema.server_registry_table();
         let mut read_at = self.deps.clock.now();
+        let mut pacing = feed_pacing::FeedPacing::new(self.deps.clock.clone());
         while !self.is_stopped() {
             let is_due = self.deps.clock.now().since(read_at) >= REGISTRY_READ_INTERVAL;
             let has_changed = match is_due {
@@ -477,10 +488,15 @@
                 },
             };
             if !has_changed {
+                pacing.record_unproductive().await;
                 continue;
             }
             match self.deps.store.rows(table, "", "", "").await {
                 Ok(registry) if registry.version >= version => {
+                    match registry.version > version {
+                        true => pacing.record_productive(),
+                        false => pacing.record_unproductive().await,
+                    }
                     version = registry.version;
                     read_at = self.deps.clock.now();
                     self.apply_server_registry(&registry.rows);
--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -10,7 +10,7 @@
 use camphorbeam_platform::store::{self, Store};
 use futures::future;
 
-use crate::{operator_requests, peers, platform_schema, relay, wakeup};
+use crate::{feed_pacing, operator_requests, peers, platform_schema, relay, wakeup};
 
 /// Long-poll timeout of a request for changes. A connection that hangs without being closed is
 /// noticed at the latest after this time plus the read timeout of the store's client.
@@ -147,6 +147,7 @@
     async fn watch_store(&self) {
         let mut version = 0;
         let mut read_at: Option<clock::Monotonic> = None;
+        let mut pacing = feed_pacing::FeedPacing::new(self.clock.clone());
         loop {
             let now = self.clock.now();
             let is_read_due = read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
@@ -155,7 +156,11 @@
                 false => self.poll_changes(version).await,
             };
             match store_version {
-                Some(newest) => version = newest.max(version),
+                Some(newest) if newest > version => {
+                    version = newest;
+                    pacing.record_productive();
+                }
+                Some(_) => pacing.record_unproductive().await,
                 None => {
                     read_at = None;
                     self.clock.sleep(RETRY_DELAY).await;
--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler's use of the store: which rows of ended jobs it removes, and when, and how it
 //! follows the operators' requests.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -9,6 +10,7 @@
 use async_std::task::{self, block_on};
 use async_trait::async_trait;
 use camphorbeam_clock as clock;
+use camphorbeam_host::feed_pacing::UNPRODUCTIVE_INTERVAL;
 use camphorbeam_host::leadership::{Candidate, LeaseCheck, LeaseHolder, Standby};
 use camphorbeam_host::scheduler::{Dependencies, Scheduler};
 use camphorbeam_host::{
@@ -136,6 +138,16 @@
     }
 }
 
+/// Replies of a change feed that has nothing new and doesn't wait for it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum ImmediateReply {
+    /// No rows, and the version that the caller has.
+    #[default]
+    Empty,
+    Error,
+    HistoryGone,
+}
+
 /// A store that refuses writes to the inbox, refuses or delays reads of the operators' requests, or
 /// whose feed of the inbox is silent, while the flags are set.
 #[derive(Clone, Default)]
@@ -146,6 +158,8 @@
     delays_requests: Arc<AtomicBool>,
     is_inbox_feed_silent: Arc<AtomicBool>,
     loses_commit_replies: Arc<AtomicBool>,
+    immediate_reply: Arc<Mutex<ImmediateReply>>,
+    feed_calls: Arc<Mutex<BTreeMap<String, u32>>>,
 }
 
 #[async_trait]
@@ -200,8 +214,20 @@
         if table == rows::INBOX_TABLE && self.is_inbox_feed_silent.load(Ordering::SeqCst) {
             futures::future::pending::<()>().await;
         }
-        task::sleep(Duration::from_millis(1)).await;
-        self.inner.changes(table, version, wait).await
+        *self
+            .feed_calls
+            .lock()
+            .unwrap()
+            .entry(table.to_owned())
+            .or_default() += 1;
+        let reply = *self.immediate_reply.lock().unwrap();
+        match reply {
+            ImmediateReply::Empty => self.inner.changes(table, version, wait).await,
+            ImmediateReply::Error => Err(PlatformError::Unknown {
+                reason: "broken".to_owned(),
+            }),
+            ImmediateReply::HistoryGone => Ok(store::Changes::HistoryGone),
+        }
     }
 }
 
@@ -308,6 +334,12 @@
         }
     }
 
+    /// Calls of the feed of `table` so far.
+    fn feed_calls(&self, table: &str) -> u32 {
+        let calls = self.store.feed_calls.lock().unwrap();
+        calls.get(table).copied().unwrap_or(0)
+    }
+
     /// Panics unless `holds` within `limit_ms` of the manual clock, which waits for background
     /// tasks that a busy machine holds up.
     fn await_that(&self, scheduler: &Scheduler, limit_ms: u64, holds: impl Fn() -> bool) {
@@ -652,3 +684,32 @@
     }
     scheduler.stop();
 }
+
+// Guards against loops that take a whole processor when their feed doesn't wait.
+#[rstest]
+fn test_scheduler_and_terms_watcher_are_bounded_when_feeds_reply_at_once(
+    #[values(
+        ImmediateReply::Empty,
+        ImmediateReply::Error,
+        ImmediateReply::HistoryGone
+    )]
+    reply: ImmediateReply,
+) {
+    let fixture = Fixture::new();
+    let scheduler = fixture.start_scheduler();
+    task::spawn(fixture.terms_watcher().run());
+    fixture.advance_leader(&scheduler, 500);
+    *fixture.store.immediate_reply.lock().unwrap() = reply;
+    fixture.advance_leader(&scheduler, 500);
+    let tables = [rows::INBOX_TABLE, "registry", "terms"];
+    let before = tables.map(|table| fixture.feed_calls(table));
+    fixture.advance_leader(&scheduler, 1_000);
+    let per_s = 1_000 / u32::try_from(UNPRODUCTIVE_INTERVAL.as_millis()).unwrap();
+    for (table, before) in tables.iter().zip(before) {
+        let calls = fixture.feed_calls(table) - before;
+        // The first after a productive one is free. A feed that fails is left alone for a while.
+        assert!(calls <= per_s + 1, "{table}: {calls}");
+        assert!(calls > 0 || reply == ImmediateReply::Error, "{table}");
+    }
+    scheduler.stop();
+}
--- a/lib/platform/src/memory_store.rs
+++ b/lib/platform/src/memory_store.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use camphorbeam_clock as clock;
 
 use crate::store::{self, RowKey};
 use crate::table::PlatformError;
@@ -39,6 +40,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct MemoryStore {
     state: Arc<Mutex<State>>,
+    /// Notified after every change of the state.
+    has_changed: Arc<event_listener::Event>,
+    feed_clock: Option<clock::Clock>,
 }
 
 fn no_response(call: &str) -> PlatformError {
@@ -85,13 +89,44 @@
 }
 
 impl MemoryStore {
+    /// Creates an empty store whose change feed waits on `clock`. The feed of the default store
+    /// replies at once.
+    pub fn with_feed_clock(clock: clock::Clock) -> Self {
+        Self {
+            feed_clock: Some(clock),
+            ..Self::default()
+        }
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let output = change(&mut self.lock());
+        self.has_changed.notify(usize::MAX);
+        output
+    }
+
+    fn changes_after(&self, table: &str, version: u64) -> Result<store::Changes, PlatformError> {
+        let state = self.lock();
+        if state.fault != Fault::None {
+            return Err(no_response("a feed"));
+        }
+        if version < state.history_start_version {
+            return Ok(store::Changes::HistoryGone);
+        }
+        let is_new = |row: &&store::Row| row.key.table == table && row.version > version;
+        Ok(store::Changes::Rows(store::Rows {
+            rows: state.history.iter().filter(is_new).cloned().collect(),
+            version: state.version,
+            store_ms: state.now_ms,
+        }))
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets the fault that is injected into all further calls.
     pub fn set_fault(&self, fault: Fault) {
-        self.lock().fault = fault;
+        self.update(|state| state.fault = fault);
     }
 
     /// Advances the store's clock.
@@ -102,17 +137,19 @@
 
     /// Applies the writes held back by [`Fault::Delayed`] whose conditions still hold.
     pub fn apply_delayed(&self) {
-        let mut state = self.lock();
-        for transaction in std::mem::take(&mut state.delayed) {
-            state.apply(&transaction);
-        }
+        self.update(|state| {
+            for transaction in std::mem::take(&mut state.delayed) {
+                state.apply(&transaction);
+            }
+        });
     }
 
     /// Discards the history of changes.
     pub fn forget_history(&self) {
-        let mut state = self.lock();
-        state.history_start_version = state.version;
-        state.history.clear();
+        self.update(|state| {
+            state.history_start_version = state.version;
+            state.history.clear();
+        });
     }
 
     /// Returns the value of a row, if it exists.
@@ -126,7 +163,7 @@
             writes: vec![(key.clone(), value.to_owned())],
             ..store::Transaction::default()
         };
-        self.lock().apply(&transaction);
+        self.update(|state| state.apply(&transaction));
     }
 
     /// Removes a row unconditionally, like another client of the store.
@@ -135,7 +172,7 @@
             removals: vec![key.clone()],
             ..store::Transaction::default()
         };
-        self.lock().apply(&transaction);
+        self.update(|state| state.apply(&transaction));
     }
 }
 
@@ -176,8 +213,7 @@
         &self,
         transaction: &store::Transaction,
     ) -> Result<store::Commit, PlatformError> {
-        let mut state = self.lock();
-        match state.fault {
+        self.update(|state| match state.fault {
             Fault::None => Ok(state.apply(transaction)),
             Fault::Busy => Err(PlatformError::NotApplied {
                 reason: "busy".to_owned(),
@@ -190,28 +226,30 @@
                 state.delayed.push(transaction.clone());
                 Err(no_response("a write"))
             }
-        }
+        })
     }
 
-    /// Returns at once also if there are no changes.
     async fn changes(
         &self,
         table: &str,
         version: u64,
-        _wait: Duration,
+        wait: Duration,
     ) -> Result<store::Changes, PlatformError> {
-        let state = self.lock();
-        if state.fault != Fault::None {
-            return Err(no_response("a feed"));
-        }
-        if version < state.history_start_version {
-            return Ok(store::Changes::HistoryGone);
+        let Some(clock) = &self.feed_clock else {
+            return self.changes_after(table, version);
+        };
+        let deadline = clock.now().plus(wait);
+        loop {
+            let changed = self.has_changed.listen();
+            let changes = self.changes_after(table, version)?;
+            let left = deadline.since(clock.now());
+            match &changes {
+                store::Changes::Rows(rows) if rows.rows.is_empty() && !left.is_zero() => {
+                    // After the timeout, the loop ends by its deadline.
+                    let _ = clock.timeout(left, changed).await;
+                }
+                store::Changes::Rows(_) | store::Changes::HistoryGone => return Ok(changes),
+            }
         }
-        let is_new = |row: &&store::Row| row.key.table == table && row.version > version;
-        Ok(store::Changes::Rows(store::Rows {
-            rows: state.history.iter().filter(is_new).cloned().collect(),
-            version: state.version,
-            store_ms: state.now_ms,
-        }))
     }
 }
