losses: say from logs why jobs were late and what work was lost

Change: log lines 'job open' and 'preempts'; 'run ended' with cause, work and lost core-seconds; the metric lost_core_seconds by cause; 'camphorbeam losses FILE...' with a table and JSON. No policy changes.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -15,6 +15,8 @@
 #[cfg(feature = "check")]
 use crate::check;
 use crate::client::{ApiClient, CallError};
+#[cfg(feature = "losses")]
+use crate::losses;
 use crate::{exit, host, print, serve};
 
 /// Version of the program, with the revision of its source.
@@ -59,6 +61,8 @@
         .subcommand(token_command());
     #[cfg(feature = "check")]
     let command = command.subcommand(check::command());
+    #[cfg(feature = "losses")]
+    let command = command.subcommand(losses::command());
     command
 }
 
@@ -205,6 +209,8 @@
         Some(("host", matches)) => return host::run(matches, signals),
         #[cfg(feature = "check")]
         Some(("check", matches)) => return check::run(matches),
+        #[cfg(feature = "losses")]
+        Some(("losses", matches)) => return losses::run(matches),
         Some(subcommand) => subcommand,
         None => return exit::Code::Usage,
     };
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,6 +6,8 @@
 mod commands;
 mod exit;
 mod host;
+#[cfg(feature = "losses")]
+mod losses;
 mod print;
 mod serve;
 
--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -166,7 +166,9 @@
     /// Returns the engine's events about a task and about all servers, one per line.
     pub fn event_log(&self, task: &job::TaskName) -> String {
         let of_task = |event: &Event| match event {
-            Event::Placed { job, .. } => job == &task.job,
+            Event::Opened { job, .. }
+            | Event::Preemption { job, .. }
+            | Event::Placed { job, .. } => job == &task.job,
             Event::Ended {
                 job, task: index, ..
             }
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -6,6 +6,37 @@
 /// Logs an event of the scheduler that runs in `epoch`.
 pub fn log_event(epoch: id::Epoch, event: &Event) {
     match event {
+        Event::Opened {
+            job,
+            queue,
+            priority,
+            tasks,
+            is_gang,
+            accelerators,
+            core_s,
+            critical_path_ms,
+            objective_ms,
+            is_scheduled_or_long_running,
+            age_ms,
+        } => spdlog::info!("job open", kv: {
+            job = job.as_str(), queue = queue.as_str(), priority = *priority, tasks = *tasks,
+            is_gang = *is_gang, accelerators = *accelerators, core_s = core_s.round(),
+            critical_path_ms = *critical_path_ms, objective_ms = *objective_ms,
+            is_scheduled_or_long_running = *is_scheduled_or_long_running, age_ms = *age_ms,
+            epoch = epoch.0
+        }),
+        Event::Preemption {
+            job,
+            first,
+            tasks,
+            victims,
+            lost_core_s,
+            waited_ms,
+        } => spdlog::info!("preempts", kv: {
+            job = job.as_str(), task = format_task_index(*first).as_str(), tasks = *tasks,
+            victims = *victims, lost_core_s = lost_core_s.round(), waited_ms = *waited_ms,
+            epoch = epoch.0
+        }),
         Event::Placed {
             job,
             first,
@@ -23,10 +54,14 @@
             run,
             server,
             how,
+            cause,
+            worked_ms,
+            lost_core_s,
             failures,
         } => spdlog::info!("run ended", kv: {
             job = job.as_str(), task = format_task_index(*task).as_str(), run = run.0,
-            server = server.as_str(), how = *how, failures = *failures, epoch = epoch.0
+            server = server.as_str(), how = *how, cause = *cause, worked_ms = *worked_ms,
+            lost_core_s = lost_core_s.round(), failures = *failures, epoch = epoch.0
         }),
         Event::Stopping {
             job,
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -31,6 +31,7 @@
 type Labels = [(&'static str, &'static str); 2];
 type CounterFamily = Family<Labels, Counter>;
 type EventCounterFamily = Family<[(&'static str, &'static str); 1], Counter>;
+type SecondsCounterFamily = Family<[(&'static str, &'static str); 1], Counter<f64, AtomicU64>>;
 type HistogramFamily = Family<[(&'static str, &'static str); 1], Histogram>;
 
 fn latency_histogram() -> Histogram {
@@ -55,6 +56,8 @@
     store_latency: HistogramFamily,
     orders: CounterFamily,
     runs: CounterFamily,
+    /// Core-seconds of work that the ends of runs have lost, by cause.
+    lost_core_seconds: SecondsCounterFamily,
     evacuations: EventCounterFamily,
     reach: EventCounterFamily,
     maintenance: EventCounterFamily,
@@ -99,6 +102,7 @@
             store_latency: latency_family(),
             orders: CounterFamily::default(),
             runs: CounterFamily::default(),
+            lost_core_seconds: SecondsCounterFamily::default(),
             evacuations: EventCounterFamily::default(),
             reach: EventCounterFamily::default(),
             maintenance: EventCounterFamily::default(),
@@ -150,6 +154,11 @@
             self.orders.clone(),
         );
         registry.register("runs", "Runs placed, stopped and ended", self.runs.clone());
+        registry.register(
+            "lost_core_seconds",
+            "Work that the ends of runs have lost",
+            self.lost_core_seconds.clone(),
+        );
         registry.register(
             "reach",
             "Changes of the reach of backend servers, by the new view",
@@ -292,7 +301,19 @@
     pub fn record_event(&self, event: &Event) {
         let (kind, how) = match event {
             Event::Placed { .. } => ("placed", ""),
-            Event::Ended { how, .. } => ("ended", *how),
+            Event::Ended {
+                how,
+                cause,
+                lost_core_s,
+                ..
+            } => {
+                if *lost_core_s > 0.0 {
+                    let lost = self.lost_core_seconds.get_or_create(&[("cause", *cause)]);
+                    lost.inc_by(*lost_core_s);
+                }
+                ("ended", *how)
+            }
+            Event::Preemption { .. } => ("preempts", ""),
             Event::Stopping { reason, .. } => ("stopping", *reason),
             Event::RunLost {
                 has_begun: true, ..
@@ -341,7 +362,8 @@
                 self.interference_changes.get_or_create(&labels).inc();
                 return;
             }
-            Event::State { .. }
+            Event::Opened { .. }
+            | Event::State { .. }
             | Event::Server { .. }
             | Event::StartPause { .. }
             | Event::Adviser { .. } => return,
--- a/lib/host/tests/test_metrics.rs
+++ b/lib/host/tests/test_metrics.rs
@@ -32,7 +32,10 @@
         task: "j1.0.0.0".parse::<job::TaskName>().unwrap().index,
         run: id::Run(1),
         server: id::BackendServerId::new("s1").unwrap(),
-        how: "done",
+        how: "stopped",
+        cause: "preempted",
+        worked_ms: 1_000,
+        lost_core_s: 15.0,
         failures: 0,
     });
     metrics.record_evacuation("begins");
--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -10,6 +10,7 @@
 use crate::decide::{self, DEGRADED_SPEED_RATIO, UNATTAINABLE_SPEED_RATIO};
 use crate::disruption_budget;
 use crate::engine::{Engine, Now};
+use crate::event::Event;
 use crate::live_run::{LiveRun, RunPhase};
 use crate::open_job::{OpenJob, PlacementUnit};
 use crate::placement::CapacitySnapshot;
@@ -277,6 +278,14 @@
             }
             return;
         };
+        self.events.push(Event::Preemption {
+            job: id.clone(),
+            first: unit.first,
+            tasks: unit.count,
+            victims: plan.victims.len(),
+            lost_core_s: plan.lost_core_s,
+            waited_ms,
+        });
         let servers: Vec<_> = plan
             .assignment
             .iter()
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::event::Event;
 use crate::live_run::{LiveRun, RunPhase};
 use crate::orders::{HoldOrder, HoldReply, PaceOrder, RunName, StartOrder};
-use crate::preemption::Claims;
+use crate::preemption::{self, Claims};
 use crate::progress::{JobState, Progress, TaskState};
 use crate::{
     advice, crash_evidence, crashes, disruption_budget, evacuation, fair_share, headroom, health,
@@ -291,6 +291,7 @@
             open_job::OpenJob::new(id.clone(), accepted, progress, row_version, accepted_ms);
         self.restore_losses(&job);
         self.restore_runs(&mut job, now);
+        self.events.push(opened_event(&job, age_ms));
         self.jobs.insert(id.clone(), job);
         if is_cancelled {
             self.cancel(&id, now);
@@ -364,6 +365,7 @@
                 live.phase = RunPhase::Stopping {
                     next_ms: Some(now.ms),
                 };
+                live.stop_reason = Some(reason);
                 self.events.push(event);
             }
             RunPhase::Stopping { .. } | RunPhase::AwaitingEnd { .. } => {}
@@ -705,6 +707,28 @@
     }
 }
 
+fn opened_event(job: &open_job::OpenJob, age_ms: u64) -> Event {
+    let steps = &job.accepted.spec.steps;
+    let widest = steps.iter().max_by_key(|step| step.task_count);
+    let core_s = steps.iter().map(|step| {
+        f64::from(step.task_count) * preemption::core_seconds(&step.need, step.estimate_ms)
+    });
+    Event::Opened {
+        job: job.id.clone(),
+        queue: job.accepted.queue.clone(),
+        priority: job.accepted.terms.priority,
+        tasks: widest.map_or(0, |step| step.task_count),
+        is_gang: widest.is_some_and(|step| step.is_gang),
+        accelerators: widest.map_or(0, |step| step.need.accelerators),
+        core_s: core_s.sum(),
+        critical_path_ms: job.critical_path_ms(),
+        objective_ms: job.objective_ms(),
+        is_scheduled_or_long_running: job.accepted.spec.schedule.is_some()
+            || steps.iter().any(|step| step.is_long_running),
+        age_ms,
+    }
+}
+
 /// Builds the name that orders and replies use for a run.
 pub(crate) fn run_name(job: &id::JobId, index: job::TaskIndex, run: id::Run) -> RunName {
     RunName {
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -9,6 +9,48 @@
 /// One decision or observation of the engine, with the values that explain it.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
+    /// The engine has begun to schedule a job: it was accepted just now, or an earlier scheduler
+    /// has left it open.
+    Opened {
+        /// The job.
+        job: id::JobId,
+        /// Its queue.
+        queue: id::QueueName,
+        /// Its priority; 0 is urgent.
+        priority: u32,
+        /// Number of tasks of its widest step.
+        tasks: u32,
+        /// Whether the tasks of that step are a gang.
+        is_gang: bool,
+        /// Accelerators of each of these tasks.
+        accelerators: u64,
+        /// Processor time that the estimates of all tasks of one occurrence amount to, in
+        /// core-seconds; an accelerator counts as several cores.
+        core_s: f64,
+        /// Estimated run time of the longest chain of dependent steps.
+        critical_path_ms: u64,
+        /// Time from acceptance within which the job should be completed.
+        objective_ms: u64,
+        /// Whether the job has due times, or tasks that run until it is cancelled.
+        is_scheduled_or_long_running: bool,
+        /// Age of the job: the time since it was accepted.
+        age_ms: u64,
+    },
+    /// Runs are stopped so that an urgent unit can start in their place.
+    Preemption {
+        /// The urgent job.
+        job: id::JobId,
+        /// The first task of the unit.
+        first: job::TaskIndex,
+        /// Number of tasks in the unit.
+        tasks: u32,
+        /// Number of units that are stopped.
+        victims: usize,
+        /// Core-seconds of work that this is expected to lose.
+        lost_core_s: f64,
+        /// Age of the urgent job.
+        waited_ms: u64,
+    },
     /// The tasks of a placement unit were placed on backend servers.
     Placed {
         /// The job.
@@ -37,6 +79,12 @@
         /// [`EndKind::name`](crate::orders::EndKind::name) of the end, or `lost` if no end was
         /// reported.
         how: &'static str,
+        /// Why it was stopped, as in [`Event::Stopping`]; the same as `how` if it wasn't.
+        cause: &'static str,
+        /// Time since the run began its work, as far as this scheduler knows.
+        worked_ms: u64,
+        /// Core-seconds of work that the end has lost; zero for work that was done or saved.
+        lost_core_s: f64,
         /// Number of failures counted against the task so far. One run of a gang adds several if
         /// several members report a failure of it.
         failures: u32,
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -11,7 +11,7 @@
 use crate::open_job::OpenJob;
 use crate::orders::{EndEntry, EndKind, HoldReply};
 use crate::progress::{JobState, TaskState};
-use crate::soundness;
+use crate::{preemption, soundness};
 
 impl Engine {
     /// Processes the reported ends that are new, and acknowledges ends whose effects are stored.
@@ -147,7 +147,7 @@
         }
         job.finish_step_if_tasks_done(index.occurrence, index.step);
         job.mark_changed();
-        self.push_end_event(id, index, EndKind::Done.name());
+        self.push_end_event(id, index, EndKind::Done.name(), now);
         self.remove_run(id, index);
         for member in unit.members().filter(|member| *member != index) {
             // The runs of the other members end with it. Their resources are released once a hold
@@ -215,7 +215,7 @@
         how: &'static str,
         now: Now,
     ) {
-        self.push_end_event(id, index, how);
+        self.push_end_event(id, index, how, now);
         self.record_restart(id, index, how, now);
         self.remove_run(id, index);
         let Some(job) = self.jobs.get(id) else {
@@ -257,17 +257,36 @@
         });
     }
 
-    fn push_end_event(&mut self, id: &id::JobId, index: job::TaskIndex, how: &'static str) {
+    fn push_end_event(
+        &mut self,
+        id: &id::JobId,
+        index: job::TaskIndex,
+        how: &'static str,
+        now: Now,
+    ) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
         if let Some(live) = job.runs.get(&index) {
+            let step = job.step(index);
+            let worked_ms = live.worked_ms(step.estimate_ms, now.ms);
+            let is_saved = how == EndKind::Done.name() || step.is_long_running;
+            let lost_core_s = match is_saved {
+                true => 0.0,
+                false => preemption::core_seconds(
+                    &live.need,
+                    preemption::lost_ms(worked_ms, step.supports_checkpoints),
+                ),
+            };
             self.events.push(Event::Ended {
                 job: id.clone(),
                 task: index,
                 run: live.run,
                 server: live.server.clone(),
                 how,
+                cause: live.stop_reason.unwrap_or(how),
+                worked_ms,
+                lost_core_s,
                 failures: job.progress.task(index).failures,
             });
         }
--- a/lib/jobs/src/live_run.rs
+++ b/lib/jobs/src/live_run.rs
@@ -69,6 +69,8 @@
     /// When the run became present; `None` before, and for a run that resumes from a checkpoint or
     /// was restored, since the speed of such a run can't be computed from that time.
     pub present_since_ms: Option<u64>,
+    /// Why the run was stopped.
+    pub stop_reason: Option<&'static str>,
     /// When the last speed sample was taken from the run, or when the run became present.
     pub speed_sampled_ms: u64,
     /// Measurement of how neighbours change the progress of the run.
@@ -97,6 +99,7 @@
             is_confirmed: false,
             first_present_ms: None,
             present_since_ms: None,
+            stop_reason: None,
             speed_sampled_ms: 0,
             interference: interference::RunTrack::default(),
         }
@@ -129,6 +132,15 @@
         self.present_since_ms = (!self.is_resumed).then_some(now_ms);
     }
 
+    /// Time that the run has worked: since it was first seen, or what its reported progress amounts
+    /// to if that is more, since a previous scheduler may have placed it long ago.
+    pub fn worked_ms(&self, estimate_ms: u64, now_ms: u64) -> u64 {
+        let seen_ms = self
+            .first_present_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+        seen_ms.max(u64::from(self.percent) * estimate_ms / 100)
+    }
+
     /// Whether the run is running or will run: its stop was not requested, and it isn't known to be
     /// ending.
     pub fn is_active(&self) -> bool {
