--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -43,9 +43,6 @@
 /// excluded.
 const EXCLUDED_SERVERS_MAX: usize = 6;
 
-/// Age of an urgent job from which its units may preempt other work if they don't fit.
-const PREEMPTION_DELAY_MS: u64 = 100;
-
 /// Number of preemptions planned in one decision; further ones wait for the next decision.
 const PREEMPTION_PLANS_MAX: u32 = 8;
 
@@ -398,8 +395,9 @@
         false
     }
 
-    /// Tries to preempt lower-priority work for an urgent unit, if its job was accepted at least
-    /// `PREEMPTION_DELAY_MS` ago and the time of the job's next attempt has come.
+    /// Tries to preempt lower-priority work for an urgent unit, if the time of its job's next attempt
+    /// has come. The first attempt is made at once: a stop takes most of the time that an urgent job
+    /// can spare.
     fn preempt_if_due(
         &mut self,
         id: &id::JobId,
@@ -407,10 +405,7 @@
         round: &mut PlacementRound,
         now: Now,
     ) {
-        let job = &self.jobs[id];
-        let waited_ms = now.ms.saturating_sub(job.accepted_ms);
-        let is_due = waited_ms >= PREEMPTION_DELAY_MS && now.ms >= job.next_preemption_ms;
-        if !is_due || round.plans_left == 0 {
+        if now.ms < self.jobs[id].next_preemption_ms || round.plans_left == 0 {
             return;
         }
         round.plans_left -= 1;
--- a/lib/jobs/tests/test_loads.rs
+++ b/lib/jobs/tests/test_loads.rs
@@ -2,6 +2,7 @@
 
 use camphorbeam_fleet_model as support;
 use camphorbeam_fleet_model::{gang, load, step, Simulation, TaskBehavior};
+use camphorbeam_jobs::event::Event;
 use camphorbeam_jobs::orders::EndKind;
 use camphorbeam_jobs::progress::JobState;
 use camphorbeam_model::{id, job};
@@ -320,3 +321,19 @@
     );
     sim.assert_no_duplicate_runs();
 }
+
+/// A burst of urgent work on a full fleet: a stop takes most of the time that an urgent job can
+/// spare, so the decision to stop other work must not wait.
+#[test]
+fn test_urgent_job_on_a_full_fleet_preempts_in_the_first_decision() {
+    let mut sim = Simulation::new(1, 2, 0);
+    sim.submit("batch", support::BATCH, "b", vec![step(16, 1, 30_000)]);
+    sim.run(2_000);
+    let urgent = sim.submit("urgent", support::URGENT, "b", vec![gang(1, 8, 2_500)]);
+    sim.run(support::STEP_MS);
+    let preempted = sim.events.iter().any(|(_, event)| match event {
+        Event::Preemption { job, .. } => job == &urgent,
+        _ => false,
+    });
+    assert!(preempted, "{:?}", sim.events.last());
+}
