jobs: measure what a stop loses by reported progress

Hypothesis: after a takeover every run counts as just begun, however near its end it is, and a run counts as making checkpoints if any step of its job does; so the wrong victims are stopped.

Change: the work of a run is the larger of the time since it was seen and the share done that its server reports; only the step's own checkpoints count.

--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -11,7 +11,7 @@
 use crate::disruption_budget;
 use crate::engine::{Engine, Now};
 use crate::event::Event;
-use crate::live_run::{LiveRun, RunPhase};
+use crate::live_run::LiveRun;
 use crate::open_job::{OpenJob, PlacementUnit};
 use crate::placement::CapacitySnapshot;
 use crate::preemption::{self, Claim, PreemptibleUnit, PreemptibleUnits};
@@ -313,23 +313,16 @@
     }
 }
 
-/// Core-seconds of work that stopping `live` loses. The run counts as checkpointing if any step of
-/// its job makes checkpoints.
+/// Core-seconds of work that stopping `live` loses.
 fn lost_core_s(job: &OpenJob, index: job::TaskIndex, live: &LiveRun, now: Now) -> f64 {
-    let work_ms = match live.phase {
-        RunPhase::Present { since_ms } => now.ms.saturating_sub(since_ms),
-        _ => 0,
-    };
-    let work_ms = match job.step(index).is_long_running {
+    let step = job.step(index);
+    let lost_ms = match step.is_long_running {
         // Its earlier work is not lost, but it is away until it has started again.
         true => disruption_budget::RESTART_LOSS_MS,
-        false => work_ms,
+        false => {
+            let worked_ms = live.worked_ms(step.estimate_ms, now.ms);
+            preemption::lost_ms(worked_ms, step.supports_checkpoints)
+        }
     };
-    let is_checkpointing = job
-        .accepted
-        .spec
-        .steps
-        .iter()
-        .any(|step| step.supports_checkpoints);
-    preemption::core_seconds(&live.need, preemption::lost_ms(work_ms, is_checkpointing))
+    preemption::core_seconds(&live.need, lost_ms)
 }
--- a/lib/jobs/tests/test_loads.rs
+++ b/lib/jobs/tests/test_loads.rs
@@ -337,3 +337,25 @@
     });
     assert!(preempted, "{:?}", sim.events.last());
 }
+
+/// Preemption soon after a takeover: the successor has seen no run begin, but servers report how far
+/// each is.
+#[test]
+fn test_preemption_after_a_takeover_spares_the_run_that_is_nearly_done() {
+    let mut sim = Simulation::new(1, 2, 0);
+    let old = sim.submit("old", support::BATCH, "b", vec![step(1, 8, 10_000)]);
+    sim.run(6_000);
+    let young = sim.submit("young", support::BATCH, "b", vec![step(1, 8, 10_000)]);
+    sim.run(1_500);
+    sim.take_over();
+    sim.run(500);
+    sim.submit("urgent", support::URGENT, "b", vec![gang(1, 8, 2_500)]);
+    sim.run(2_000);
+    let stopped: Vec<_> = sim
+        .run_records
+        .iter()
+        .filter(|record| record.end == Some(EndKind::Stopped))
+        .map(|record| &record.name.task.job)
+        .collect();
+    assert_eq!(stopped, [&young], "not {old}");
+}
