jobs: let gangs start beside their reservation, and reserve for several

Traced: one gang at a time may reserve servers; a reservation ends after 4 s, before the runs in its way do; a gang with a reservation starts nowhere else, also when other servers become free first; two reservations may count on the same ends; small tasks and urgent work take the gaps of every rack.

Change: a gang with a reservation starts wherever it fits first; reservations last until the runs in their way have ended and don't share servers; with a third of the service free, several gangs may have one, and with half of it free they come before urgent work; a gang that doesn't fit without them may use servers of any speed. Log line 'reserves for a gang', metric runs_total{event="reservation"}.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -168,6 +168,7 @@
         let of_task = |event: &Event| match event {
             Event::Opened { job, .. }
             | Event::Preemption { job, .. }
+            | Event::Reservation { job, .. }
             | Event::Placed { job, .. } => job == &task.job,
             Event::Ended {
                 job, task: index, ..
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -37,6 +37,19 @@
             victims = *victims, lost_core_s = lost_core_s.round(), waited_ms = *waited_ms,
             epoch = epoch.0
         }),
+        Event::Reservation {
+            job,
+            first,
+            tasks,
+            servers,
+            remaining_ms,
+            allowed,
+            waited_ms,
+        } => spdlog::info!("reserves for a gang", kv: {
+            job = job.as_str(), task = format_task_index(*first).as_str(), tasks = *tasks,
+            servers = *servers, remaining_ms = *remaining_ms, allowed = *allowed,
+            waited_ms = *waited_ms, epoch = epoch.0
+        }),
         Event::Placed {
             job,
             first,
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -314,6 +314,8 @@
                 ("ended", *how)
             }
             Event::Preemption { .. } => ("preempts", ""),
+            Event::Reservation { servers: 0, .. } => ("reservation", "impossible"),
+            Event::Reservation { .. } => ("reservation", "made"),
             Event::Stopping { reason, .. } => ("stopping", *reason),
             Event::RunLost {
                 has_begun: true, ..
--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -13,7 +13,7 @@
 use crate::event::Event;
 use crate::live_run::LiveRun;
 use crate::open_job::{OpenJob, PlacementUnit};
-use crate::placement::CapacitySnapshot;
+use crate::placement::{self, CapacitySnapshot};
 use crate::preemption::{self, Claim, PreemptibleUnit, PreemptibleUnits};
 use crate::soundness;
 
@@ -24,9 +24,13 @@
 /// job that doesn't fit.
 const RESERVATION_DELAY_RATIO: f64 = 0.25;
 
-/// Lifetime of a reservation. After it, a new reservation is made on the servers where the gang
-/// then fits earliest.
-const RESERVATION_DURATION_MS: u64 = 4_000;
+/// Shortest lifetime of a reservation. After it, a new reservation is made on the servers where the
+/// gang then fits earliest.
+const RESERVATION_MIN_MS: u64 = 4_000;
+
+/// Lifetime of a reservation relative to the time until the runs in its way should have ended. A
+/// reservation that expires before is made anew elsewhere, and the gang may never start.
+const RESERVATION_TIME_RATIO: f64 = 1.5;
 
 /// Interval between preemption attempts for one job. Neither a missing plan nor one that loses too
 /// much work is likely to change sooner.
@@ -52,11 +56,30 @@
         });
     }
 
-    /// Whether servers are reserved for a non-urgent gang. At most one such reservation exists at a
-    /// time: the caller makes a new one only if this returns false.
-    pub(crate) fn has_gang_reservation(&self) -> bool {
+    /// Whether servers may be reserved for another non-urgent gang of `service`. While the service
+    /// has little room, there is at most one such reservation at a time, since reserved servers stay
+    /// idle. Once a third of it is free, all gangs may have one: then mostly small units spread over
+    /// all racks are in their way, and these have room elsewhere.
+    pub(crate) fn may_reserve_for_gang(&self, service: &id::ServiceName) -> bool {
         let mut claims = self.claims.keys();
-        claims.any(|(id, _)| self.jobs[id].accepted.terms.priority > 0)
+        let has_reservation = claims.any(|(id, _)| self.jobs[id].accepted.terms.priority > 0);
+        !has_reservation || self.partly_free.contains(service)
+    }
+
+    /// Servers that are reserved for non-urgent gangs.
+    fn reserved_servers(&self) -> impl Iterator<Item = id::BackendServerId> + '_ {
+        let claims = self.claims.iter();
+        claims
+            .filter(|((id, _), _)| self.jobs[id].accepted.terms.priority > 0)
+            .flat_map(|(_, claim)| claim.servers.iter().cloned())
+    }
+
+    /// Whether the claims of a job are placed before all other work. Those of urgent work are, and
+    /// reservations of a service that is mostly free: urgent work has room elsewhere there, and would
+    /// hold up a gang that needs a whole rack for ever.
+    fn is_placed_first(&self, id: &id::JobId) -> bool {
+        let terms = &self.jobs[id].accepted.terms;
+        terms.priority == 0 || self.mostly_free.contains(&terms.service)
     }
 
     /// Reserves the servers on which a gang fits earliest, once the age of its job exceeds
@@ -73,7 +96,10 @@
     ) -> bool {
         let job = &self.jobs[id];
         let waited_ms = now.ms.saturating_sub(job.accepted_ms);
-        let delay_ms = (job.objective_ms() as f64 * RESERVATION_DELAY_RATIO) as u64;
+        let delay_ms = match self.partly_free.contains(&job.accepted.terms.service) {
+            true => 0,
+            false => (job.objective_ms() as f64 * RESERVATION_DELAY_RATIO) as u64,
+        };
         if unit.count == 1
             || job.accepted.terms.priority == 0
             || waited_ms < delay_ms
@@ -83,22 +109,41 @@
         }
         self.next_reservation_ms = now.ms + RESERVATION_RETRY_MS;
         let need = job.step(unit.first).counted_need();
-        let assignment = {
+        let (assignment, allowed) = {
             let mut demand = self.demand(id, unit, guaranteed_accounts, now);
-            demand.speed_min_ratio = DEGRADED_SPEED_RATIO;
+            snapshot.relax_speed(&mut demand, DEGRADED_SPEED_RATIO);
+            // What ends on servers that are reserved for another gang is not for this one.
+            demand.excluded.extend(self.reserved_servers());
             snapshot.relax_kept(&mut demand);
-            preemption::earliest_assignment(snapshot, &demand, &self.expected_ends(snapshot))
+            let ends = self.expected_ends(snapshot);
+            let assignment = preemption::earliest_assignment(snapshot, &demand, &ends);
+            let groups = snapshot.claimable_groups(&demand);
+            (assignment, groups.iter().map(Vec::len).sum())
         };
-        let Some(assignment) = assignment else {
+        self.events.push(Event::Reservation {
+            job: id.clone(),
+            first: unit.first,
+            tasks: unit.count,
+            servers: assignment.as_ref().map_or(0, |(servers, _)| {
+                servers.iter().collect::<BTreeSet<_>>().len()
+            }),
+            remaining_ms: assignment
+                .as_ref()
+                .map_or(0, |(_, remaining_ms)| *remaining_ms),
+            allowed,
+            waited_ms,
+        });
+        let Some((assignment, remaining_ms)) = assignment else {
             return false;
         };
         let servers = assignment
             .iter()
             .map(|&position| snapshot.candidates()[position].entry.id.clone());
+        let reservation_ms = (remaining_ms as f64 * RESERVATION_TIME_RATIO) as u64;
         let claim = Claim {
             servers: servers.collect(),
             need,
-            until_ms: now.ms + RESERVATION_DURATION_MS,
+            until_ms: now.ms + reservation_ms.max(RESERVATION_MIN_MS),
         };
         for &position in &assignment {
             snapshot.allocate(position, &need);
@@ -139,17 +184,17 @@
 
     /// Starts units whose claimed servers have room, and allocates the other claims in `snapshot`
     /// so that no other unit is placed there. Drops claims on servers that can't take work. Handles
-    /// only the claims of urgent work if `is_urgent`, else only those of other work.
+    /// only the claims that are placed before all other work if `comes_first`, else only the others.
     pub(crate) fn place_claims(
         &mut self,
         snapshot: &mut CapacitySnapshot,
-        is_urgent: bool,
+        comes_first: bool,
         now: Now,
     ) {
         let claims: Vec<_> = self
             .claims
             .iter()
-            .filter(|((id, _), _)| is_urgent == (self.jobs[id].accepted.terms.priority == 0))
+            .filter(|((id, _), _)| comes_first == self.is_placed_first(id))
             .map(|(unit, claim)| (unit.clone(), claim.clone()))
             .collect();
         for ((id, unit), claim) in claims {
@@ -177,12 +222,16 @@
                 fits &= free.can_fit(&claim.need);
                 *free = free.minus(&claim.need);
             }
-            match fits && self.has_tickets(&id, unit, &claim.servers) {
-                true => {
+            let assignment = match fits && self.has_tickets(&id, unit, &claim.servers) {
+                true => Some(positions.clone()),
+                false => self.assignment_beside_reservation(&id, unit, snapshot, now),
+            };
+            match assignment {
+                Some(assignment) => {
                     self.claims.remove(&(id.clone(), unit));
-                    self.start_unit(&id, unit, &positions, snapshot, now);
+                    self.start_unit(&id, unit, &assignment, snapshot, now);
                 }
-                false => {
+                None => {
                     for &position in &positions {
                         snapshot.allocate(position, &claim.need);
                     }
@@ -191,6 +240,24 @@
         }
     }
 
+    /// Servers on which a gang with a reservation fits now, since others have become free sooner.
+    /// `None` for urgent units, whose claim is due within the time of a stop.
+    fn assignment_beside_reservation(
+        &self,
+        id: &id::JobId,
+        unit: PlacementUnit,
+        snapshot: &mut CapacitySnapshot,
+        now: Now,
+    ) -> Option<placement::Assignment> {
+        if self.jobs[id].accepted.terms.priority == 0 {
+            return None;
+        }
+        let mut demand = self.demand(id, unit, &BTreeSet::new(), now);
+        snapshot.relax_speed(&mut demand, DEGRADED_SPEED_RATIO);
+        snapshot.relax_kept(&mut demand);
+        snapshot.choose(&demand)
+    }
+
     /// Units that urgent work may preempt: those of lower priority with active runs. Of
     /// long-running steps, no more than all of them together may be stopped.
     pub(crate) fn preemptible_units(
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -43,6 +43,13 @@
 /// excluded.
 const EXCLUDED_SERVERS_MAX: usize = 6;
 
+/// Free share of a service above which it counts as mostly free. Then urgent work finds room anyway,
+/// and a wide gang may need all of it.
+const MOSTLY_FREE_SHARE: f64 = 0.5;
+
+/// Free share of a service above which servers may be reserved for several gangs at once.
+const PARTLY_FREE_SHARE: f64 = 1.0 / 3.0;
+
 /// Number of preemptions planned in one decision; further ones wait for the next decision.
 const PREEMPTION_PLANS_MAX: u32 = 8;
 
@@ -197,6 +204,7 @@
         }
         let mut snapshot = self.capacity_snapshot(now);
         snapshot.mark_near_target(&self.pacing.servers_near_target(now.ms));
+        self.update_free_shares(&snapshot);
         self.keep_servers_for_urgent(&mut snapshot);
         let mut round = PlacementRound {
             guaranteed_accounts: self.guaranteed_accounts(),
@@ -235,11 +243,33 @@
         }
     }
 
+    /// Records how much of each service is free.
+    fn update_free_shares(&mut self, snapshot: &CapacitySnapshot) {
+        let services: BTreeSet<_> = self
+            .jobs
+            .values()
+            .map(|job| &job.accepted.terms.service)
+            .chain(self.headroom.keys())
+            .cloned()
+            .collect();
+        self.partly_free.clear();
+        self.mostly_free.clear();
+        for service in services {
+            let (capacity, free) = snapshot.service_resources(&service);
+            if has_free_share(&capacity, &free, MOSTLY_FREE_SHARE) {
+                self.mostly_free.insert(service.clone());
+            }
+            if has_free_share(&capacity, &free, PARTLY_FREE_SHARE) {
+                self.partly_free.insert(service);
+            }
+        }
+    }
+
     /// Keeps servers of each service for its urgent work, unless the service is mostly free.
     fn keep_servers_for_urgent(&self, snapshot: &mut CapacitySnapshot) {
         for (service, headroom) in &self.headroom {
-            let (capacity, free) = snapshot.service_resources(service);
-            if !is_mostly_free(&capacity, &free) {
+            if !self.mostly_free.contains(service) {
+                let (capacity, _) = snapshot.service_resources(service);
                 let kept = headroom.accelerators_to_keep(capacity.accelerators);
                 snapshot.keep_for_urgent(service, kept);
             }
@@ -373,7 +403,9 @@
             true => None,
             false => {
                 let mut demand = self.demand(id, unit, &round.guaranteed_accounts, now);
-                demand.speed_min_ratio = DEGRADED_SPEED_RATIO;
+                round
+                    .snapshot
+                    .relax_speed(&mut demand, DEGRADED_SPEED_RATIO);
                 round.snapshot.relax_kept(&mut demand);
                 round.snapshot.choose(&demand)
             }
@@ -383,7 +415,8 @@
             return true;
         }
         self.report_wait_for_proven(id, unit, now);
-        if !is_claimed && !self.has_gang_reservation() {
+        let service = &self.jobs[id].accepted.terms.service;
+        if !is_claimed && self.may_reserve_for_gang(service) {
             self.reserve_for_gang(
                 id,
                 unit,
@@ -610,12 +643,12 @@
     }
 }
 
-/// Whether less than half of `capacity` is in use. Then urgent work finds room anyway, and a wide
-/// gang may need all of it.
-fn is_mostly_free(capacity: &job::Resources, free: &job::Resources) -> bool {
-    2 * free.accelerators > capacity.accelerators
-        && 2 * free.cpu_millicores > capacity.cpu_millicores
-        && 2 * free.memory_mb > capacity.memory_mb
+/// Whether more than `share` of each resource of `capacity` is free.
+fn has_free_share(capacity: &job::Resources, free: &job::Resources, share: f64) -> bool {
+    let is_over = |free: u64, capacity: u64| free as f64 > share * capacity as f64;
+    is_over(free.accelerators, capacity.accelerators)
+        && is_over(free.cpu_millicores, capacity.cpu_millicores)
+        && is_over(free.memory_mb, capacity.memory_mb)
 }
 
 /// A job with units that may start.
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -111,6 +111,10 @@
     pub(crate) advice: advice::AdviceState,
     /// Demand for urgent work, by service.
     pub(crate) headroom: BTreeMap<id::ServiceName, headroom::Headroom>,
+    /// Services of which over a third was free in the newest decision.
+    pub(crate) partly_free: BTreeSet<id::ServiceName>,
+    /// Services of which over half was free in the newest decision.
+    pub(crate) mostly_free: BTreeSet<id::ServiceName>,
     /// Servers that are set apart for waiting units.
     pub(crate) claims: Claims,
     /// Tasks with a run that may exist, by backend server.
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -51,6 +51,24 @@
         /// Age of the urgent job.
         waited_ms: u64,
     },
+    /// Servers are reserved for a gang that doesn't fit, or none were found.
+    Reservation {
+        /// The job.
+        job: id::JobId,
+        /// The first task of the gang.
+        first: job::TaskIndex,
+        /// Number of tasks in the gang.
+        tasks: u32,
+        /// Number of servers that are reserved; zero if the gang wouldn't fit even after all runs
+        /// have ended that may be in its way.
+        servers: usize,
+        /// Time until these runs should have ended, by their progress.
+        remaining_ms: u64,
+        /// Number of servers that may take the gang at all.
+        allowed: usize,
+        /// Age of the job.
+        waited_ms: u64,
+    },
     /// The tasks of a placement unit were placed on backend servers.
     Placed {
         /// The job.
--- a/lib/jobs/src/preemption.rs
+++ b/lib/jobs/src/preemption.rs
@@ -242,19 +242,23 @@
     pub need: job::Resources,
 }
 
-/// The servers on which `demand` fits earliest as runs end; `None` if it doesn't fit even after all
-/// of `ends`, which must be sorted by `remaining_ms`. Whether it fits is only tested after an end,
-/// so callers first check that it doesn't fit yet.
+/// The servers on which `demand` fits earliest as runs end, and the time until then in
+/// milliseconds; `None` if it doesn't fit even after all of `ends`, which must be sorted by
+/// `remaining_ms`. Whether it fits is only tested after an end, so callers first check that it
+/// doesn't fit yet.
 pub fn earliest_assignment(
     snapshot: &placement::CapacitySnapshot,
     demand: &placement::Demand<'_>,
     ends: &[ExpectedEnd],
-) -> Option<placement::Assignment> {
+) -> Option<(placement::Assignment, u64)> {
     let mut trial = Trial::new(snapshot, demand);
     for end in ends {
         trial.release(end.position, &end.need);
         match trial.group_of(end.position) {
-            Some(group) if trial.fits(group) => return trial.assignment(group),
+            Some(group) if trial.fits(group) => {
+                let assignment = trial.assignment(group)?;
+                return Some((assignment, end.remaining_ms));
+            }
             _ => {}
         }
     }
--- a/lib/jobs/tests/test_loads.rs
+++ b/lib/jobs/tests/test_loads.rs
@@ -359,3 +359,99 @@
         .collect();
     assert_eq!(stopped, [&young], "not {old}");
 }
+
+/// Steady urgent gangs beside batch work that would fill every server, on a fleet with a few servers
+/// of more than twice the speed of the others. Urgent work has to find the fast ones free.
+#[test]
+fn test_urgent_gangs_find_fast_servers_beside_batch_work() {
+    let mut sim = Simulation::new(4, 8, 0);
+    for (position, server) in sim.servers.values_mut().enumerate() {
+        server.speed_ratio = if position % 4 == 0 { 1.65 } else { 0.75 };
+    }
+    warm_up(&mut sim);
+    let mut urgent = Vec::new();
+    for number in 0..40 {
+        let name = format!("batch{number:03}");
+        sim.submit(&name, support::BATCH, "b", vec![step(60, 1, 7_000)]);
+        for half in 0..2 {
+            let name = format!("urgent{number:03}-{half}");
+            // The estimate is too low by a quarter, as callers' estimates may be.
+            let job = id::JobId::new(&name).unwrap();
+            let first = "u.0.0.0".parse::<job::TaskName>().unwrap().index;
+            let second = job::TaskIndex { rank: 1, ..first };
+            let work_ms = [(first, 2_600), (second, 2_600)].into();
+            let behavior = TaskBehavior {
+                work_ms,
+                ..TaskBehavior::default()
+            };
+            sim.task_behaviors.insert(job, behavior);
+            let steps = vec![gang(2, 4, 2_000)];
+            urgent.push(sim.submit(&name, support::URGENT, "b", steps));
+            sim.run(500);
+        }
+    }
+    sim.run(5_000);
+    // The demand is averaged over 8 s.
+    let settled = &urgent[32..];
+    let objective_ms = 2_000 * 3 / 2 + 250;
+    let in_time = settled.iter().filter(|job| {
+        let took_ms = sim
+            .completed_at_ms
+            .get(job)
+            .map(|at_ms| at_ms - sim.accepted[job].accepted_unix_ms);
+        took_ms.is_some_and(|took_ms| took_ms <= objective_ms)
+    });
+    let in_time = in_time.count();
+    assert!(
+        in_time * 10 >= settled.len() * 9,
+        "{in_time} of {}",
+        settled.len()
+    );
+}
+
+/// A gang waits with servers reserved in one rack when those of another rack become free sooner than
+/// their runs have let expect.
+#[test]
+fn test_gang_with_a_reservation_starts_where_servers_become_free_first() {
+    let mut sim = Simulation::new(2, 2, 0);
+    sim.submit("short", support::NORMAL, "b", vec![gang(2, 8, 12_000)]);
+    let long = sim.submit("long", support::NORMAL, "b", vec![gang(2, 8, 20_000)]);
+    sim.run(500);
+    let waiting = sim.submit("waiting", support::NORMAL, "b", vec![gang(2, 8, 6_000)]);
+    // After a quarter of its objective, servers are reserved for it.
+    sim.run(6_000);
+    let is_reserved = sim.events.iter().any(|(_, event)| match event {
+        Event::Reservation { job, servers, .. } => job == &waiting && *servers == 2,
+        _ => false,
+    });
+    assert!(is_reserved);
+    sim.cancel(&long);
+    sim.run(1_500);
+    assert!(
+        first_start_ms(&sim, &waiting).is_some(),
+        "{:?}",
+        sim.run_records
+    );
+}
+
+/// Servers that were once measured as far too slow get no work, so no measurement shows that they are
+/// fast again; a gang that needs them must not wait for ever.
+#[test]
+fn test_wide_gang_starts_although_servers_have_been_slow_before() {
+    let mut sim = Simulation::new(1, 4, 0);
+    for name in ["s0-2", "s0-3"] {
+        sim.server(name).speed_ratio = 0.05;
+    }
+    for number in 0..6 {
+        let steps = vec![step(4, 8, 3_000)];
+        sim.submit(&format!("job{number}"), support::NORMAL, "b", steps);
+        sim.run(8_000);
+    }
+    for name in ["s0-2", "s0-3"] {
+        assert!(sim.engine.relative_speed(name) < 0.3);
+        sim.server(name).speed_ratio = 1.0;
+    }
+    let wide = sim.submit("wide", support::NORMAL, "b", vec![gang(4, 8, 3_000)]);
+    sim.run(30_000);
+    assert_eq!(sim.state(&wide), JobState::Completed);
+}
