jobs: keep reserved servers apart when a gang starts beside its reservation

Cause: found by reading: a gang that starts beside its reservation could take servers that are claimed for urgent work or reserved for another gang, whose claims come later in the order of ids.

Change: claims of urgent work are placed first, and servers of other gangs' reservations are left out.

--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -66,11 +66,14 @@
         !has_reservation || self.partly_free.contains(service)
     }
 
-    /// Servers that are reserved for non-urgent gangs.
-    fn reserved_servers(&self) -> impl Iterator<Item = id::BackendServerId> + '_ {
+    /// Servers that are reserved for non-urgent gangs of other jobs than `job`.
+    fn reserved_servers<'a>(
+        &'a self,
+        job: &'a id::JobId,
+    ) -> impl Iterator<Item = id::BackendServerId> + 'a {
         let claims = self.claims.iter();
         claims
-            .filter(|((id, _), _)| self.jobs[id].accepted.terms.priority > 0)
+            .filter(move |((id, _), _)| id != job && self.jobs[id].accepted.terms.priority > 0)
             .flat_map(|(_, claim)| claim.servers.iter().cloned())
     }
 
@@ -113,26 +116,36 @@
             let mut demand = self.demand(id, unit, guaranteed_accounts, now);
             snapshot.relax_speed(&mut demand, DEGRADED_SPEED_RATIO);
             // What ends on servers that are reserved for another gang is not for this one.
-            demand.excluded.extend(self.reserved_servers());
+            demand.excluded.extend(self.reserved_servers(id));
             snapshot.relax_kept(&mut demand);
             let ends = self.expected_ends(snapshot);
             let assignment = preemption::earliest_assignment(snapshot, &demand, &ends);
             let groups = snapshot.claimable_groups(&demand);
             (assignment, groups.iter().map(Vec::len).sum())
         };
-        self.events.push(Event::Reservation {
-            job: id.clone(),
-            first: unit.first,
-            tasks: unit.count,
-            servers: assignment.as_ref().map_or(0, |(servers, _)| {
-                servers.iter().collect::<BTreeSet<_>>().len()
-            }),
-            remaining_ms: assignment
-                .as_ref()
-                .map_or(0, |(_, remaining_ms)| *remaining_ms),
-            allowed,
-            waited_ms,
-        });
+        let was_impossible = match self.jobs.get_mut(id) {
+            Some(job) => std::mem::replace(&mut job.is_unreservable, assignment.is_none()),
+            None => false,
+        };
+        // That nothing can be reserved is reported once, not with each attempt.
+        if assignment.is_some() || !was_impossible {
+            let (servers, remaining_ms) = match &assignment {
+                Some((servers, remaining_ms)) => {
+                    let distinct: BTreeSet<_> = servers.iter().collect();
+                    (distinct.len(), *remaining_ms)
+                }
+                None => (0, 0),
+            };
+            self.events.push(Event::Reservation {
+                job: id.clone(),
+                first: unit.first,
+                tasks: unit.count,
+                servers,
+                remaining_ms,
+                allowed,
+                waited_ms,
+            });
+        }
         let Some((assignment, remaining_ms)) = assignment else {
             return false;
         };
@@ -197,6 +210,7 @@
             .filter(|((id, _), _)| comes_first == self.is_placed_first(id))
             .map(|(unit, claim)| (unit.clone(), claim.clone()))
             .collect();
+        let mut waiting_gangs = Vec::new();
         for ((id, unit), claim) in claims {
             let positions: Option<Vec<usize>> = claim
                 .servers
@@ -222,26 +236,38 @@
                 fits &= free.can_fit(&claim.need);
                 *free = free.minus(&claim.need);
             }
-            let assignment = match fits && self.has_tickets(&id, unit, &claim.servers) {
-                true => Some(positions.clone()),
-                false => self.assignment_beside_reservation(&id, unit, snapshot, now),
-            };
-            match assignment {
+            let is_urgent = self.jobs[&id].accepted.terms.priority == 0;
+            match fits && self.has_tickets(&id, unit, &claim.servers) {
+                true => {
+                    self.claims.remove(&(id.clone(), unit));
+                    self.start_unit(&id, unit, &positions, snapshot, now);
+                }
+                false if is_urgent => {
+                    for &position in &positions {
+                        snapshot.allocate(position, &claim.need);
+                    }
+                }
+                false => waiting_gangs.push((id, unit, positions, claim.need)),
+            }
+        }
+        // After the claims of urgent work, whose servers are not for gangs.
+        for (id, unit, positions, need) in waiting_gangs {
+            match self.assignment_beside_reservation(&id, unit, snapshot, now) {
                 Some(assignment) => {
                     self.claims.remove(&(id.clone(), unit));
                     self.start_unit(&id, unit, &assignment, snapshot, now);
                 }
                 None => {
                     for &position in &positions {
-                        snapshot.allocate(position, &claim.need);
+                        snapshot.allocate(position, &need);
                     }
                 }
             }
         }
     }
 
-    /// Servers on which a gang with a reservation fits now, since others have become free sooner.
-    /// `None` for urgent units, whose claim is due within the time of a stop.
+    /// Servers on which a gang with a reservation fits now, since others than the reserved ones have
+    /// become free sooner. None of them is reserved for another gang.
     fn assignment_beside_reservation(
         &self,
         id: &id::JobId,
@@ -249,11 +275,9 @@
         snapshot: &mut CapacitySnapshot,
         now: Now,
     ) -> Option<placement::Assignment> {
-        if self.jobs[id].accepted.terms.priority == 0 {
-            return None;
-        }
         let mut demand = self.demand(id, unit, &BTreeSet::new(), now);
         snapshot.relax_speed(&mut demand, DEGRADED_SPEED_RATIO);
+        demand.excluded.extend(self.reserved_servers(id));
         snapshot.relax_kept(&mut demand);
         snapshot.choose(&demand)
     }
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -47,6 +47,8 @@
     /// Whether a run of the job was seen on its server, or a task was placed by a previous
     /// scheduler.
     pub has_begun_work: bool,
+    /// Whether the last attempt to reserve servers for a gang of the job has found none.
+    pub is_unreservable: bool,
     /// Earliest time of the next attempt to preempt other work for this job.
     pub next_preemption_ms: u64,
     ready: Option<Ready>,
@@ -81,6 +83,7 @@
             stored_generation: 0,
             row_version,
             has_begun_work,
+            is_unreservable: false,
             next_preemption_ms: 0,
             ready: None,
         }
