host: tell a reply that was cut from one that never came

Cause: neither logs nor metrics could tell the hypotheses of the incident apart: `store lost` gave no bytes, failed calls for the terms left no line, and nothing showed how old the newest answer about the terms was.

Change: the store's client records how a reply arrives (transfer::Progress); `store lost` and the new line `reply cut` name the bytes that had arrived, `terms not confirmed` the way, the version held and its age. Metrics: store_received_bytes, store_discarded_bytes, terms_age_seconds. No limit and no decision has changed.

--- a/lib/clock/src/lib.rs
+++ b/lib/clock/src/lib.rs
@@ -13,6 +13,8 @@
 
 use rustix::time::{clock_gettime, ClockId};
 
+pub mod transfer;
+
 /// An instant on a monotonic clock with an arbitrary origin.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Monotonic {
--- a/lib/host/src/entry_host.rs
+++ b/lib/host/src/entry_host.rs
@@ -48,6 +48,7 @@
     /// Handles incoming calls.
     pub gateway: Arc<gateway::Gateway>,
     metrics: Arc<metrics::Metrics>,
+    clock: clock::Clock,
     store: Arc<relay::RelayedStore>,
     current_terms: Arc<terms_watcher::CurrentTerms>,
     is_leaving: Arc<AtomicBool>,
@@ -145,7 +146,7 @@
         let gateway = Arc::new(gateway::Gateway {
             current_terms: Arc::clone(&current_terms),
             store: Arc::clone(&store),
-            clock,
+            clock: clock.clone(),
             metrics: Arc::clone(&metrics),
             caller_zone: match settings.jobs.fair_shares {
                 job_settings::FairShares::On => Some(settings.zone.clone()),
@@ -155,6 +156,7 @@
         Ok(Self {
             gateway,
             metrics,
+            clock,
             store,
             current_terms,
             is_leaving,
@@ -179,6 +181,9 @@
         self.metrics
             .terms_version
             .set(self.current_terms.version().0);
+        let age = self.current_terms.confirmation_age(self.clock.now());
+        let age_s = age.map_or(-1.0, |age| age.as_secs_f64());
+        self.metrics.terms_age_s.set(age_s);
         self.metrics.encode_text()
     }
 
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -79,6 +79,10 @@
     pub store_losses: Counter,
     /// Probes of this host's own connection while it was judged lost.
     pub store_probes: Counter,
+    /// Bytes of replies to calls through this host's own connection, with the option `probed`.
+    pub store_received_bytes: Counter,
+    /// Those of them that belong to replies that were cut, and so are of no use.
+    pub store_discarded_bytes: Counter,
     /// Long polls in progress on behalf of other hosts.
     pub relayed_polls: Gauge,
     /// Number of kinds of tasks that the detection of interference knows; 0 unless this host runs
@@ -90,6 +94,9 @@
     interference_changes: EventCounterFamily,
     /// Version of the current terms.
     pub terms_version: Gauge<u64, AtomicU64>,
+    /// Time since the store, or a host that reaches it, last confirmed the current terms, in
+    /// seconds; negative before the first time.
+    pub terms_age_s: Gauge<f64, AtomicU64>,
 }
 
 impl Default for Metrics {
@@ -116,11 +123,14 @@
             evacuated_zones: Gauge::default(),
             store_losses: Counter::default(),
             store_probes: Counter::default(),
+            store_received_bytes: Counter::default(),
+            store_discarded_bytes: Counter::default(),
             relayed_polls: Gauge::default(),
             interference_kinds: Gauge::default(),
             interference_pairs: Gauge::default(),
             interference_changes: EventCounterFamily::default(),
             terms_version: Gauge::default(),
+            terms_age_s: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -225,6 +235,18 @@
             "Probes of the host's own connection to the store while it was judged lost",
             self.store_probes.clone(),
         );
+        registry.register_with_unit(
+            "store_received",
+            "Data of replies through the host's own connection to the store",
+            Unit::Bytes,
+            self.store_received_bytes.clone(),
+        );
+        registry.register_with_unit(
+            "store_discarded",
+            "Data of replies that were cut, through the host's own connection to the store",
+            Unit::Bytes,
+            self.store_discarded_bytes.clone(),
+        );
         registry.register(
             "relayed_polls",
             "Long polls in progress on behalf of other hosts",
@@ -250,6 +272,12 @@
             "Version of the terms in force",
             self.terms_version.clone(),
         );
+        registry.register_with_unit(
+            "terms_age",
+            "Time since the store last confirmed the terms in force",
+            Unit::Seconds,
+            self.terms_age_s.clone(),
+        );
     }
 
     /// Records the reply to a call and its latency. `what` is the operation, `outcome` the
--- a/lib/host/src/store_path.rs
+++ b/lib/host/src/store_path.rs
@@ -13,6 +13,7 @@
 
 use async_trait::async_trait;
 use camphorbeam_clock as clock;
+use camphorbeam_clock::transfer;
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
 use futures::future::{self, BoxFuture, Either, FutureExt as _};
@@ -214,6 +215,8 @@
     pub(crate) metrics: Arc<metrics::Metrics>,
     state: Mutex<State>,
     changed: Signal,
+    /// Bytes of replies through the own connection, of all calls.
+    own_progress: Arc<transfer::Progress>,
 }
 
 fn no_reply(reason: &str) -> PlatformError {
@@ -240,6 +243,7 @@
             metrics,
             state: Mutex::default(),
             changed: Signal::new(),
+            own_progress: Arc::default(),
         }
     }
 
@@ -380,7 +384,7 @@
         state.reached_at = Some(now);
     }
 
-    fn record_loss(&self, reason: &str) {
+    fn record_loss(&self, reason: &str, received_bytes: u64) {
         let now = self.clock.now();
         let mut state = self.lock();
         if state.lost_at.is_some() {
@@ -388,7 +392,7 @@
         }
         state.lost_at = Some(now);
         drop(state);
-        spdlog::warn!("store lost", kv: { way = "direct", reason });
+        spdlog::warn!("store lost", kv: { way = "direct", reason, received_bytes });
         self.metrics.store_losses.inc();
         self.changed.notify();
     }
@@ -437,14 +441,40 @@
         }
     }
 
-    /// Awaits a call through the own connection, and judges the connection by it.
+    /// Awaits a call through the own connection, judges the connection by it, and reports a reply
+    /// of which only a part has arrived.
     async fn through_own<T>(
         &self,
         limits: OwnLimits,
+        progress: &transfer::Progress,
         call: impl Future<Output = Result<T, PlatformError>>,
     ) -> Result<T, PlatformError> {
-        let mut call = std::pin::pin!(call);
         let sent_at = self.clock.now();
+        let result = self.judge_own(limits, progress, sent_at, call).await;
+        let received_bytes = progress.received_bytes();
+        self.metrics.store_received_bytes.inc_by(received_bytes);
+        match &result {
+            Err(error) if received_bytes > 0 => {
+                let reason = error.to_string();
+                let took_ms = clock::as_ms(self.clock.now().since(sent_at));
+                self.metrics.store_discarded_bytes.inc_by(received_bytes);
+                spdlog::warn!("reply cut", kv: {
+                    reason = reason.as_str(), received_bytes, took_ms
+                });
+            }
+            Ok(_) | Err(_) => {}
+        }
+        result
+    }
+
+    async fn judge_own<T>(
+        &self,
+        limits: OwnLimits,
+        progress: &transfer::Progress,
+        sent_at: clock::Monotonic,
+        call: impl Future<Output = Result<T, PlatformError>>,
+    ) -> Result<T, PlatformError> {
+        let mut call = std::pin::pin!(call);
         let result = loop {
             let changed = self.changed.subscribe();
             let now = self.clock.now();
@@ -467,7 +497,7 @@
                     return Err(no_reply("the own connection is lost"));
                 }
                 Some(_) if silent_at.is_some_and(|silent_at| now >= silent_at) => {
-                    self.record_loss("no reply");
+                    self.record_loss("no reply", progress.received_bytes());
                 }
                 Some(end_at) if now >= end_at => return Err(no_reply("the reply is late")),
                 _ => {
@@ -482,7 +512,7 @@
             Ok(_) | Err(PlatformError::Rejected { .. }) => self.record_own_success(),
             // A later call has succeeded, so the connection works.
             Err(_) if self.lock().own_succeeded_at > Some(sent_at) => {}
-            Err(error) => self.record_loss(&error.to_string()),
+            Err(error) => self.record_loss(&error.to_string(), progress.received_bytes()),
         }
         result
     }
@@ -575,8 +605,10 @@
             return Err(relay::unreachable_error());
         }
         let sent_at = self.clock.now();
-        let call = self.direct.rows(table, part, from, to);
-        let result = self.through_own(OwnLimits::of_read(to), call).await;
+        let progress = transfer::Progress::of_call(&self.own_progress);
+        let call = self.direct.rows_recorded(table, part, from, to, &progress);
+        let result = self.through_own(OwnLimits::of_read(to), &progress, call);
+        let result = result.await;
         self.record_call("direct", &result, sent_at);
         if let Ok(rows) = &result {
             self.record_store_clock(rows);
@@ -597,8 +629,10 @@
             return Err(relay::unreachable_error());
         }
         let sent_at = self.clock.now();
+        let progress = transfer::Progress::of_call(&self.own_progress);
         let call = self.direct.commit(transaction);
-        let result = self.through_own(OwnLimits::of_commit(), call).await;
+        let result = self.through_own(OwnLimits::of_commit(), &progress, call);
+        let result = result.await;
         self.record_call("direct", &result, sent_at);
         result
     }
@@ -618,8 +652,12 @@
             return Err(relay::unreachable_error());
         }
         // Not recorded in the metrics, since the duration of a long poll is not a latency.
-        let call = self.direct.changes(table, version, wait);
-        let result = self.through_own(OwnLimits::of_feed(wait), call).await;
+        let progress = transfer::Progress::of_call(&self.own_progress);
+        let call = self
+            .direct
+            .changes_recorded(table, version, wait, &progress);
+        let result = self.through_own(OwnLimits::of_feed(wait), &progress, call);
+        let result = result.await;
         if let Ok(store::Changes::Rows(rows)) = &result {
             self.record_store_clock(rows);
         }
--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -45,6 +45,9 @@
 struct State {
     terms: Arc<terms::Terms>,
     text: Option<Arc<str>>,
+    /// Newest time at which a reply of the store, directly or through a host that reaches it, has
+    /// shown these terms to be the newest ones.
+    confirmed_at: Option<clock::Monotonic>,
 }
 
 impl CurrentTerms {
@@ -115,6 +118,17 @@
         }
     }
 
+    /// Records that the current terms were the newest ones in a reply that arrived at `now`.
+    fn record_confirmation(&self, now: clock::Monotonic) {
+        self.lock().confirmed_at = Some(now);
+    }
+
+    /// Returns the time from the newest reply of the store that confirmed the current terms until
+    /// `now`, or `None` before the first one.
+    pub fn confirmation_age(&self, now: clock::Monotonic) -> Option<Duration> {
+        self.lock().confirmed_at.map(|at| now.since(at))
+    }
+
     /// Returns the version of the current terms.
     pub fn version(&self) -> id::TermsVersion {
         self.lock().terms.version
@@ -176,11 +190,18 @@
         let reading = self
             .store
             .direct_rows(&key.table, &key.part, &key.key, &end);
-        let mut rows = reading.await.ok()?;
+        let mut rows = match reading.await {
+            Ok(rows) => rows,
+            Err(error) => {
+                self.log_failure("read", &error.to_string());
+                return None;
+            }
+        };
         if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
             self.current_terms
                 .apply_if_newer(&*self.schema, &text, "read");
         }
+        self.current_terms.record_confirmation(self.clock.now());
         // The feed continues from the version of this read, so it doesn't show earlier changes of
         // other rows.
         self.record_feed_reply(true);
@@ -200,6 +221,7 @@
                     self.current_terms
                         .apply_if_newer(&*self.schema, text, "feed");
                 }
+                self.current_terms.record_confirmation(self.clock.now());
                 let evacuations = self.schema.evacuation_range();
                 let waves = self.schema.wave_range();
                 let has_request = changes.rows.iter().any(|row| {
@@ -209,13 +231,29 @@
                 self.record_feed_reply(has_request);
                 Some(changes.version)
             }
-            Ok(store::Changes::HistoryGone) | Err(_) => {
+            Ok(store::Changes::HistoryGone) => {
+                self.log_failure("feed", "the store has dropped its history");
+                self.current_terms.operator_feed.record_failure();
+                None
+            }
+            Err(error) => {
+                self.log_failure("feed", &error.to_string());
                 self.current_terms.operator_feed.record_failure();
                 None
             }
         }
     }
 
+    /// Logs that a call for new terms failed, with what this host holds meanwhile. The callers
+    /// pause after each failure.
+    fn log_failure(&self, way: &'static str, reason: &str) {
+        let age = self.current_terms.confirmation_age(self.clock.now());
+        let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
+        spdlog::warn!("terms not confirmed", kv: {
+            way, reason, version = self.current_terms.version().0, age_ms
+        });
+    }
+
     /// Passes a reply on if the table also holds the operators' requests.
     fn record_feed_reply(&self, may_have_changed: bool) {
         if self.schema.evacuation_range().table == self.schema.terms_key().table {
--- a/lib/http/src/client.rs
+++ b/lib/http/src/client.rs
@@ -10,6 +10,7 @@
 use async_std::io::ReadExt;
 use async_std::net::TcpStream;
 use camphorbeam_clock as clock;
+use camphorbeam_clock::transfer;
 use camphorbeam_telemetry::traces::{self, FutureExt as _};
 use http_types::{Method, StatusCode, Url};
 
@@ -20,6 +21,9 @@
 /// if it were complete, and its connection is reused.
 pub const RESPONSE_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Size of the buffer that a response body is read through.
+const READ_BYTES: usize = 8 * 1024;
+
 /// Maximum number of idle connections kept for one address.
 const IDLE_PER_ADDRESS_MAX: usize = 4;
 
@@ -93,11 +97,30 @@
     /// Returns [`ExchangeError::NotSent`] only if no byte of the request was sent, and
     /// [`ExchangeError::NoResponse`] after any other failure.
     pub async fn send(&self, call: Call<'_>) -> Result<Response, ExchangeError> {
+        self.send_recorded(call, &transfer::Progress::default())
+            .await
+    }
+
+    /// Sends `call` like [`Self::send`], and records on `progress` how the body of the response
+    /// arrives.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Self::send`].
+    pub async fn send_recorded(
+        &self,
+        call: Call<'_>,
+        progress: &transfer::Progress,
+    ) -> Result<Response, ExchangeError> {
         let span = call_span(&call);
-        self.send_untraced(call).in_span(span).await
+        self.send_untraced(call, progress).in_span(span).await
     }
 
-    async fn send_untraced(&self, call: Call<'_>) -> Result<Response, ExchangeError> {
+    async fn send_untraced(
+        &self,
+        call: Call<'_>,
+        progress: &transfer::Progress,
+    ) -> Result<Response, ExchangeError> {
         let started = self.clock.now();
         let address = call.address;
         let connecting = self.clock.timeout(call.timeout, self.connection(address));
@@ -107,7 +130,7 @@
         };
         stream.begin_exchange();
         let remaining = call.timeout.saturating_sub(self.clock.now().since(started));
-        let exchange = exchange(stream.clone(), call);
+        let exchange = exchange(stream.clone(), call, &self.clock, progress);
         match self.clock.timeout(remaining, exchange).await {
             Ok(Ok((reply, true))) => {
                 self.put_idle(address, stream);
@@ -176,6 +199,8 @@
 async fn exchange(
     stream: meter::MeteredStream,
     call: Call<'_>,
+    clock: &clock::Clock,
+    progress: &transfer::Progress,
 ) -> http_types::Result<(Response, bool)> {
     let url = Url::parse(&format!("http://{}{}", call.address, call.path))?;
     let mut request = http_types::Request::new(call.method, url);
@@ -200,13 +225,9 @@
             "the answer does not state its length"
         ));
     }
-    let mut body = Vec::new();
     let source = response.take_body();
     let declared_bytes = source.len();
-    source
-        .take(RESPONSE_MAX_BYTES)
-        .read_to_end(&mut body)
-        .await?;
+    let body = read_body(source.take(RESPONSE_MAX_BYTES), clock, progress).await?;
     match declared_bytes {
         Some(declared) if declared != body.len() => Err(http_types::format_err!(
             "the answer ended after {} of {declared} bytes",
@@ -219,6 +240,23 @@
     }
 }
 
+async fn read_body(
+    mut source: impl async_std::io::Read + Unpin,
+    clock: &clock::Clock,
+    progress: &transfer::Progress,
+) -> std::io::Result<Vec<u8>> {
+    let mut body = Vec::new();
+    let mut buffer = vec![0; READ_BYTES];
+    loop {
+        let length = source.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(body);
+        }
+        body.extend_from_slice(&buffer[..length]);
+        progress.record(clock.now(), length as u64);
+    }
+}
+
 /// Returns whether the response marks the end of its body, so that a body cut short by a closed
 /// connection can be detected.
 fn is_body_delimited(response: &http_types::Response) -> bool {
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use camphorbeam_clock::transfer;
 
 use crate::table;
 
@@ -125,6 +126,31 @@
         version: u64,
         wait: Duration,
     ) -> Result<Changes, table::PlatformError>;
+
+    /// Like [`Self::rows`], and records on `progress` how the reply arrives. An implementation
+    /// whose replies arrive at once records nothing.
+    async fn rows_recorded(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+        _progress: &transfer::Progress,
+    ) -> Result<Rows, table::PlatformError> {
+        self.rows(table, part, from, to).await
+    }
+
+    /// Like [`Self::changes`], and records on `progress` how the reply arrives, as
+    /// [`Self::rows_recorded`] does.
+    async fn changes_recorded(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+        _progress: &transfer::Progress,
+    ) -> Result<Changes, table::PlatformError> {
+        self.changes(table, version, wait).await
+    }
 }
 
 /// Reads the row `key`, if it exists. The returned [`Rows`] carry the version and the time of the
