host: a failing test of large terms over a narrow link

What callers saw: rule CONFIG, calls answered by terms that had been replaced more than 3 s before, on hosts with links of 10 Mbit/s.

The test puts three versions of 1 MB, one after the other, on the paused clock, at 14 moments of the long poll, also with a transfer that stops half-way. It fails at the first moment on this code: version 1 is still in force after 3 s.

--- /dev/null
+++ b/lib/host/tests/test_large_replies.rs
@@ -0,0 +1,264 @@
+//! Large values arrive over narrow links. Each test names the failure it guards against.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use camphorbeam_clock as clock;
+use camphorbeam_clock::transfer;
+use camphorbeam_host::{metrics, peers, platform_schema, relay, store_path, terms_watcher};
+use camphorbeam_model::{fleet, id, terms};
+use camphorbeam_platform::memory_store::MemoryStore;
+use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::table::PlatformError;
+use futures::future::{BoxFuture, FutureExt as _};
+use rstest::rstest;
+
+type Reply<T> = Result<T, PlatformError>;
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// A link of 10 Mbit/s, the narrowest of the users' deployments.
+const LINK_BYTES_PER_MS: u64 = 1_250;
+
+/// Bytes that arrive at once.
+const CHUNK_BYTES: u64 = 8_192;
+
+/// Time within which users require changed terms in force where hosts have such links.
+const IN_FORCE_MAX: Duration = Duration::from_millis(3_000);
+
+/// Terms of some 4,000 queues.
+const LARGE_BYTES: usize = 1_000_000;
+
+/// Terms that consist of a version, a space and padding.
+struct PaddedVersionSchema;
+
+fn terms_key() -> store::RowKey {
+    store::RowKey::new("op", "", "terms")
+}
+
+fn padded_terms(version: u64, bytes: usize) -> String {
+    format!("{version} {}", "x".repeat(bytes))
+}
+
+impl platform_schema::PlatformSchema for PaddedVersionSchema {
+    fn terms_key(&self) -> store::RowKey {
+        terms_key()
+    }
+
+    fn decode_terms(&self, text: &str) -> anyhow::Result<terms::Terms> {
+        let version = text.split(' ').next().unwrap_or_default();
+        Ok(terms::Terms {
+            version: id::TermsVersion(version.parse()?),
+            ..terms::Terms::default()
+        })
+    }
+
+    fn evacuation_range(&self) -> platform_schema::RowRange {
+        platform_schema::RowRange::with_prefix("op", "", "zone/")
+    }
+
+    fn decode_evacuation(&self, key: &store::RowKey) -> anyhow::Result<id::ZoneName> {
+        Ok(id::ZoneName::new(&key.key)?)
+    }
+
+    fn server_registry_table(&self) -> &'static str {
+        "registry"
+    }
+
+    fn decode_server(&self, _row: &store::Row) -> anyhow::Result<fleet::ServerEntry> {
+        anyhow::bail!("this platform has no servers")
+    }
+}
+
+/// The link of one host: transfers share it chunk by chunk.
+struct Link {
+    clock: clock::Clock,
+    free_at: Mutex<clock::Monotonic>,
+    /// Bytes that have passed.
+    passed_bytes: AtomicU64,
+    /// Number of transfers that stop for good half-way, with no error.
+    stalls_left: AtomicU64,
+}
+
+impl Link {
+    fn new(clock: clock::Clock) -> Self {
+        Self {
+            clock,
+            free_at: Mutex::default(),
+            passed_bytes: AtomicU64::new(0),
+            stalls_left: AtomicU64::new(0),
+        }
+    }
+
+    /// Transfers a reply of `bytes` bytes of values, which the platform encodes in base64.
+    async fn transfer(&self, bytes: usize, progress: &transfer::Progress) {
+        let total = bytes as u64 * 4 / 3;
+        let mut left = total;
+        while left > 0 {
+            let is_half_way = left <= total / 2 && total > CHUNK_BYTES;
+            let takes_one = |stalls: u64| stalls.checked_sub(1);
+            let order = Ordering::SeqCst;
+            if is_half_way
+                && self
+                    .stalls_left
+                    .fetch_update(order, order, takes_one)
+                    .is_ok()
+            {
+                futures::future::pending::<()>().await;
+            }
+            let chunk = left.min(CHUNK_BYTES);
+            let arrives_at = {
+                let mut free_at = self.free_at.lock().unwrap();
+                let began_at = self.clock.now().max(*free_at);
+                *free_at = began_at.plus(Duration::from_millis(chunk.div_ceil(LINK_BYTES_PER_MS)));
+                *free_at
+            };
+            self.clock.sleep(arrives_at.since(self.clock.now())).await;
+            self.passed_bytes.fetch_add(chunk, order);
+            progress.record(self.clock.now(), chunk);
+            left -= chunk;
+        }
+    }
+}
+
+/// A store behind a link.
+#[derive(Clone)]
+struct LinkedStore {
+    memory: MemoryStore,
+    link: Arc<Link>,
+}
+
+fn value_bytes(rows: &store::Rows) -> usize {
+    let values = rows.rows.iter().filter_map(|row| row.value.as_ref());
+    values.map(String::len).sum()
+}
+
+#[async_trait]
+impl Store for LinkedStore {
+    async fn rows(&self, t: &str, p: &str, from: &str, to: &str) -> Reply<store::Rows> {
+        let progress = transfer::Progress::default();
+        self.rows_recorded(t, p, from, to, &progress).await
+    }
+
+    async fn commit(&self, transaction: &store::Transaction) -> Reply<store::Commit> {
+        self.memory.commit(transaction).await
+    }
+
+    async fn changes(&self, t: &str, version: u64, wait: Duration) -> Reply<store::Changes> {
+        let progress = transfer::Progress::default();
+        self.changes_recorded(t, version, wait, &progress).await
+    }
+
+    async fn rows_recorded(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+        progress: &transfer::Progress,
+    ) -> Reply<store::Rows> {
+        let rows = self.memory.rows(table, part, from, to).await?;
+        self.link.transfer(value_bytes(&rows), progress).await;
+        Ok(rows)
+    }
+
+    async fn changes_recorded(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+        progress: &transfer::Progress,
+    ) -> Reply<store::Changes> {
+        let changes = self.memory.changes(table, version, wait).await?;
+        if let store::Changes::Rows(rows) = &changes {
+            self.link.transfer(value_bytes(rows), progress).await;
+        }
+        Ok(changes)
+    }
+}
+
+/// A host that follows the terms, over a link of its own.
+struct Fixture {
+    tasks: Vec<BoxFuture<'static, ()>>,
+    time: clock::ManualTime,
+    memory: MemoryStore,
+    link: Arc<Link>,
+    current_terms: Arc<terms_watcher::CurrentTerms>,
+}
+
+impl Fixture {
+    /// Version 1 of the terms is small and in force.
+    fn new() -> Self {
+        let (clock, time) = clock::Clock::manual(0);
+        let memory = MemoryStore::with_feed_clock(clock.clone());
+        memory.put(&terms_key(), &padded_terms(1, 10));
+        let link = Arc::new(Link::new(clock.clone()));
+        let own_address: SocketAddr = ([127, 0, 0, 1], 1).into();
+        let peers = Arc::new(peers::Peers::new(own_address, &[]));
+        let path = Arc::new(store_path::StorePath::new(
+            Arc::new(LinkedStore {
+                memory: memory.clone(),
+                link: Arc::clone(&link),
+            }),
+            Arc::clone(&peers) as _,
+            Arc::clone(&peers),
+            clock.clone(),
+            Arc::new(metrics::Metrics::default()),
+        ));
+        let current_terms = Arc::new(terms_watcher::CurrentTerms::default());
+        let watcher = terms_watcher::TermsWatcher {
+            current_terms: Arc::clone(&current_terms),
+            store: Arc::new(relay::RelayedStore::with_path(Arc::clone(&path))),
+            peers,
+            schema: Arc::new(PaddedVersionSchema),
+            clock,
+        };
+        let mut fixture = Self {
+            tasks: vec![path.run().boxed(), watcher.run().boxed()],
+            time,
+            memory,
+            link,
+            current_terms,
+        };
+        fixture.run_for(Duration::from_millis(1_000));
+        assert_eq!(fixture.version(), 1);
+        fixture
+    }
+
+    fn version(&self) -> u64 {
+        self.current_terms.version().0
+    }
+
+    fn run_for(&mut self, duration: Duration) {
+        for _ in 0..duration.as_millis() / TICK.as_millis() {
+            for _ in 0..20 {
+                let mut tasks = self.tasks.iter_mut();
+                assert!(tasks.all(|task| task.now_or_never().is_none()));
+            }
+            self.time.advance(TICK);
+        }
+    }
+}
+
+/// Guards against large terms that are never in force on a host with a narrow link, because each
+/// attempt to receive them is cut by a limit shorter than their transfer.
+#[rstest]
+#[case::whole(0)]
+#[case::after_a_transfer_that_stopped_half_way(1)]
+fn test_large_terms_are_in_force_in_time_on_a_narrow_link(#[case] stalls: u64) {
+    // A long poll is 700 ms; its moment at which the change comes must not matter.
+    for phase_ms in (0..700).step_by(50) {
+        let mut fixture = Fixture::new();
+        fixture.run_for(Duration::from_millis(phase_ms));
+        fixture.link.stalls_left.store(stalls, Ordering::SeqCst);
+        for version in 2..5 {
+            let terms = padded_terms(version, LARGE_BYTES);
+            fixture.memory.put(&terms_key(), &terms);
+            fixture.run_for(IN_FORCE_MAX);
+            assert_eq!(fixture.version(), version, "phase {phase_ms} ms");
+        }
+    }
+}
