store: limit the silence of a reply, not its length

Cause: every limit of a read counted its whole length: 1,000 ms in the store's client, 450 ms until the path judges the connection lost, 500 ms after the wait of a feed. A row of 770 KB takes 620 ms on a link of 10 Mbit/s. Each attempt was cut while its bytes were arriving, the connection counted as lost, and the next attempt began at the first byte.

Change: a reply that is arriving proves its connection. The limits apply to its silence, before the first byte and between two, and 12 s to the whole, against a sender of single bytes. Both limits are in one place, Clock::limit_transfer, tested in test_http on the paused clock.

--- a/lib/host/src/store_path.rs
+++ b/lib/host/src/store_path.rs
@@ -25,8 +25,8 @@
 /// takes 350 ms for a read.
 const SILENCE_MAX: Duration = Duration::from_millis(450);
 
-/// Time after the end of a long poll at which it ends without a reply, also if other calls show
-/// that the connection works. Its reader then reads the rows, which costs more, so a host that is
+/// Time after the end of a long poll, or after the newest bytes of its reply, at which it ends
+/// without a reply, also if other calls show that the connection works. Its reader then reads the rows, which costs more, so a host that is
 /// short of processor time should seldom get there.
 const FEED_LATE_MAX: Duration = Duration::from_millis(500);
 
@@ -117,9 +117,10 @@
 struct OwnLimits {
     /// Time after sending at which a reply is due; `None` if that can't be known.
     reply_due: Option<Duration>,
-    /// Whether the call ends if it is late, also if the connection works.
+    /// Whether the call ends if its reply is late and not arriving, also if the connection works.
     ends_when_late: bool,
-    /// Time after sending at which the call ends if the connection is lost.
+    /// Time after sending at which the call ends if the connection is lost and its reply isn't
+    /// arriving.
     abandon_delay: Duration,
 }
 
@@ -483,13 +484,21 @@
                 (state.lost_at.is_some(), state.own_succeeded_at)
             };
             let due_at = limits.reply_due.map(|due| sent_at.plus(due));
-            let silent_since = due_at.map(|due_at| due_at.max(own_succeeded_at.unwrap_or(due_at)));
+            // A reply that is arriving proves that the connection works, however long it takes.
+            let heard_at = own_succeeded_at.max(self.own_progress.received_at());
+            let silent_since = due_at.map(|due_at| due_at.max(heard_at.unwrap_or(due_at)));
             let silent_at = silent_since.map(|since| since.plus(SILENCE_MAX));
+            let arrived_at = progress.received_at();
             let late_at = due_at
                 .filter(|_| limits.ends_when_late)
-                .map(|due_at| due_at.plus(FEED_LATE_MAX));
+                .map(|due_at| due_at.max(arrived_at.unwrap_or(due_at)))
+                .map(|since| since.plus(FEED_LATE_MAX));
             let end_at = match is_lost {
-                true => Some(sent_at.plus(limits.abandon_delay)),
+                true => {
+                    let abandoned_at = sent_at.plus(limits.abandon_delay);
+                    let stopped_at = arrived_at.map(|arrived_at| arrived_at.plus(SILENCE_MAX));
+                    Some(abandoned_at.max(stopped_at.unwrap_or(abandoned_at)))
+                }
                 false => silent_at.into_iter().chain(late_at).min(),
             };
             match end_at {
--- a/lib/host/tests/test_large_replies.rs
+++ b/lib/host/tests/test_large_replies.rs
@@ -23,8 +23,8 @@
 /// A link of 10 Mbit/s, the narrowest of the users' deployments.
 const LINK_BYTES_PER_MS: u64 = 1_250;
 
-/// Bytes that arrive at once.
-const CHUNK_BYTES: u64 = 8_192;
+/// Bytes that arrive at once: those of one tick.
+const CHUNK_BYTES: u64 = 12_500;
 
 /// Time within which users require changed terms in force where hosts have such links.
 const IN_FORCE_MAX: Duration = Duration::from_millis(3_000);
--- a/lib/http/src/client.rs
+++ b/lib/http/src/client.rs
@@ -21,6 +21,10 @@
 /// if it were complete, and its connection is reused.
 pub const RESPONSE_MAX_BYTES: u64 = 64 * 1024 * 1024;
 
+/// Maximum duration of an exchange whose response arrives without a pause: 1.5 MB, more than the
+/// platform puts into one response, take as long on a link of 1 Mbit/s.
+pub const TRANSFER_MAX: Duration = Duration::from_secs(12);
+
 /// Size of the buffer that a response body is read through.
 const READ_BYTES: usize = 8 * 1024;
 
@@ -97,12 +101,16 @@
     /// Returns [`ExchangeError::NotSent`] only if no byte of the request was sent, and
     /// [`ExchangeError::NoResponse`] after any other failure.
     pub async fn send(&self, call: Call<'_>) -> Result<Response, ExchangeError> {
-        self.send_recorded(call, &transfer::Progress::default())
-            .await
+        let limits = transfer::Limits::whole(call.timeout);
+        let progress = transfer::Progress::default();
+        let span = call_span(&call);
+        let sending = self.send_untraced(call, limits, &progress);
+        sending.in_span(span).await
     }
 
-    /// Sends `call` like [`Self::send`], and records on `progress` how the body of the response
-    /// arrives.
+    /// Sends `call` like [`Self::send`], but for a response whose size isn't bounded: its timeout
+    /// applies from the start to the first byte of the response's body and between two of them,
+    /// and [`TRANSFER_MAX`] to the whole exchange. Records on `progress` how the body arrives.
     ///
     /// # Errors
     ///
@@ -112,13 +120,20 @@
         call: Call<'_>,
         progress: &transfer::Progress,
     ) -> Result<Response, ExchangeError> {
+        let limits = transfer::Limits {
+            silence_max: call.timeout,
+            whole_max: TRANSFER_MAX,
+        };
         let span = call_span(&call);
-        self.send_untraced(call, progress).in_span(span).await
+        self.send_untraced(call, limits, progress)
+            .in_span(span)
+            .await
     }
 
     async fn send_untraced(
         &self,
         call: Call<'_>,
+        limits: transfer::Limits,
         progress: &transfer::Progress,
     ) -> Result<Response, ExchangeError> {
         let started = self.clock.now();
@@ -129,9 +144,11 @@
             Err(elapsed) => return Err(not_sent(address, elapsed)),
         };
         stream.begin_exchange();
-        let remaining = call.timeout.saturating_sub(self.clock.now().since(started));
         let exchange = exchange(stream.clone(), call, &self.clock, progress);
-        match self.clock.timeout(remaining, exchange).await {
+        let exchange = self
+            .clock
+            .limit_transfer(limits, started, progress, exchange);
+        match exchange.await {
             Ok(Ok((reply, true))) => {
                 self.put_idle(address, stream);
                 Ok(reply)
--- a/lib/http/tests/test_http.rs
+++ b/lib/http/tests/test_http.rs
@@ -10,6 +10,7 @@
 use async_std::net::{TcpListener, TcpStream};
 use async_std::task;
 use camphorbeam_clock as clock;
+use camphorbeam_clock::transfer;
 use camphorbeam_http::{client, meter, server};
 use http_types::{Method, Response, StatusCode};
 use rstest::rstest;
@@ -360,3 +361,58 @@
         assert!(meter.received_bytes() > 20 * 9);
     });
 }
+
+/// Guards against a response that is cut although its bytes keep arriving, by a limit for its
+/// whole; and against one that holds its caller up for ever.
+#[rstest]
+#[case::arrives_without_a_pause(5, 5, true)]
+#[case::stops(5, 2, false)]
+#[case::trickles(100, 100, false)]
+fn test_http_client_limits_the_silence_of_a_large_response_and_its_length(
+    #[case] chunks: u64,
+    #[case] chunks_sent: u64,
+    #[case] is_received: bool,
+) {
+    /// Nine tenths of the maximum silence.
+    const PAUSE: Duration = Duration::from_millis(900);
+    const CHUNK: [u8; 1_000] = [b'x'; 1_000];
+    task::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let (next, chunk_due) = async_channel::unbounded();
+        task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let length = chunks * CHUNK.len() as u64;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.expect("can write");
+            while chunk_due.recv().await.is_ok() {
+                // The client may have given up.
+                let _ = stream.write_all(&CHUNK).await;
+            }
+        });
+        let (clock, time) = clock::Clock::manual(0);
+        let progress = Arc::new(transfer::Progress::default());
+        let of_call = Arc::clone(&progress);
+        // Closed when the call has ended.
+        let (ended, guard) = async_channel::bounded::<()>(1);
+        let sending = task::spawn(async move {
+            let _guard = guard;
+            let client = client::HttpClient::new(clock, Arc::default());
+            let call = client::Call {
+                timeout: Duration::from_secs(1),
+                ..call(address, "/", Vec::new())
+            };
+            client.send_recorded(call, &of_call).await
+        });
+        for chunk in 1..=chunks_sent {
+            next.send(()).await.expect("a server");
+            while progress.received_bytes() < chunk * CHUNK.len() as u64 && !ended.is_closed() {
+                task::sleep(Duration::from_millis(1)).await;
+            }
+            time.advance(PAUSE);
+        }
+        time.advance(PAUSE);
+        let received = async_std::future::timeout(WAIT_LIMIT, sending).await;
+        assert_eq!(received.expect("an end of the call").is_ok(), is_received);
+    });
+}
