terms: leave a narrow link free of unchanged large terms

Cause: the full read that repairs a missed change had a fixed interval, and followed every failure of the feed.

Change: the next full read comes after 20 times the duration of the last one, 5 s at least. After a loss of the connection the feed goes on from the version that it had; the row is read only if the store has dropped its history, or a call fails while others work.

--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -16,9 +16,13 @@
 /// noticed at the latest after this time plus the read timeout of the store's client.
 const FEED_POLL_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time between two full reads, which find changes that the feed missed.
+/// Time from one full read to the next, which finds changes that the feed missed.
 const READ_INTERVAL: Duration = Duration::from_millis(5_000);
 
+/// Time from one full read to the next, as a multiple of the duration of the first. Large terms
+/// take the whole of a narrow link, and then other calls wait.
+const READ_PAUSE_RATIO: u32 = 20;
+
 /// Delay before retrying a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -135,6 +139,16 @@
     }
 }
 
+/// What follows from one call to the store.
+enum Step {
+    /// The feed continues from this version of the store.
+    Continue(u64),
+    /// The call failed. Calls may fail while others work.
+    Retry,
+    /// The changes since the last version are gone, so the row has to be read.
+    Restart,
+}
+
 /// Updates the current terms from the store and, while this host's own connection to it fails,
 /// through or from other hosts.
 pub struct TermsWatcher {
@@ -159,32 +173,41 @@
     }
 
     async fn watch_store(&self) {
-        let mut version = 0;
-        let mut read_at: Option<clock::Monotonic> = None;
+        let mut position = None;
+        let mut read_due_at = clock::Monotonic::default();
         let mut pacing = feed_pacing::FeedPacing::new(self.clock.clone());
         loop {
-            let now = self.clock.now();
-            let is_read_due = read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
-            let store_version = match is_read_due {
-                true => self.read_row().await.inspect(|_| read_at = Some(now)),
-                false => self.poll_changes(version).await,
+            let started_at = self.clock.now();
+            let step = match position {
+                Some(version) if started_at < read_due_at => self.poll_changes(version).await,
+                Some(_) | None => {
+                    let step = self.read_row().await;
+                    let now = self.clock.now();
+                    let pause = READ_PAUSE_RATIO * now.since(started_at);
+                    read_due_at = now.plus(READ_INTERVAL.max(pause));
+                    step
+                }
             };
-            match store_version {
-                Some(newest) if newest > version => {
-                    version = newest;
+            match step {
+                Step::Continue(newest) if Some(newest) > position => {
+                    position = Some(newest);
                     pacing.record_productive();
                 }
-                Some(_) => pacing.record_unproductive().await,
-                None => {
-                    read_at = None;
+                Step::Continue(_) => pacing.record_unproductive().await,
+                // The feed will continue where it was, which costs less than a read of large terms.
+                Step::Retry if position.is_some() && !self.store.is_direct_working() => {
+                    self.clock.sleep(RETRY_DELAY).await;
+                }
+                Step::Retry | Step::Restart => {
+                    position = None;
                     self.clock.sleep(RETRY_DELAY).await;
                 }
             }
         }
     }
 
-    /// Reads the terms through this host's own connection; returns the version of the store.
-    async fn read_row(&self) -> Option<u64> {
+    /// Reads the terms through this host's own connection.
+    async fn read_row(&self) -> Step {
         let key = self.schema.terms_key();
         let end = format!("{}\0", key.key);
         let reading = self
@@ -194,7 +217,7 @@
             Ok(rows) => rows,
             Err(error) => {
                 self.log_failure("read", &error.to_string());
-                return None;
+                return Step::Retry;
             }
         };
         if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
@@ -205,10 +228,10 @@
         // The feed continues from the version of this read, so it doesn't show earlier changes of
         // other rows.
         self.record_feed_reply(true);
-        Some(rows.version)
+        Step::Continue(rows.version)
     }
 
-    async fn poll_changes(&self, version: u64) -> Option<u64> {
+    async fn poll_changes(&self, version: u64) -> Step {
         let row_key = self.schema.terms_key();
         match self
             .store
@@ -229,17 +252,17 @@
                     is_wave || evacuations.contains(&row.key)
                 });
                 self.record_feed_reply(has_request);
-                Some(changes.version)
+                Step::Continue(changes.version)
             }
             Ok(store::Changes::HistoryGone) => {
                 self.log_failure("feed", "the store has dropped its history");
                 self.current_terms.operator_feed.record_failure();
-                None
+                Step::Restart
             }
             Err(error) => {
                 self.log_failure("feed", &error.to_string());
                 self.current_terms.operator_feed.record_failure();
-                None
+                Step::Retry
             }
         }
     }
--- a/lib/host/tests/test_large_replies.rs
+++ b/lib/host/tests/test_large_replies.rs
@@ -10,7 +10,7 @@
 use camphorbeam_clock::transfer;
 use camphorbeam_host::{metrics, peers, platform_schema, relay, store_path, terms_watcher};
 use camphorbeam_model::{fleet, id, terms};
-use camphorbeam_platform::memory_store::MemoryStore;
+use camphorbeam_platform::memory_store::{Fault, MemoryStore};
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
 use futures::future::{BoxFuture, FutureExt as _};
@@ -262,3 +262,33 @@
         }
     }
 }
+
+/// Guards against full reads of unchanged large terms, each of which takes the whole of a narrow
+/// link for a second: at a fixed interval, and after each loss of the connection.
+#[rstest]
+#[case::undisturbed(Fault::None)]
+#[case::the_store_is_lost_and_back(Fault::Busy)]
+fn test_large_terms_that_are_unchanged_leave_a_narrow_link_free(#[case] fault: Fault) {
+    const WATCHED: Duration = Duration::from_secs(60);
+    let mut fixture = Fixture::new();
+    fixture
+        .memory
+        .put(&terms_key(), &padded_terms(2, LARGE_BYTES));
+    fixture.run_for(IN_FORCE_MAX);
+    assert_eq!(fixture.version(), 2);
+    let before_bytes = fixture.link.passed_bytes.load(Ordering::SeqCst);
+    for _ in 0..10 {
+        fixture.memory.set_fault(fault);
+        fixture.run_for(Duration::from_millis(1_000));
+        fixture.memory.set_fault(Fault::None);
+        fixture.run_for(WATCHED / 10 - Duration::from_millis(1_000));
+    }
+    let used_bytes = fixture.link.passed_bytes.load(Ordering::SeqCst) - before_bytes;
+    // A twentieth, and the read that comes soonest.
+    let link_bytes = WATCHED.as_millis() as u64 * LINK_BYTES_PER_MS;
+    let terms_bytes = LARGE_BYTES as u64 * 4 / 3;
+    assert!(
+        used_bytes <= link_bytes / 20 + terms_bytes,
+        "{used_bytes} bytes"
+    );
+}
