terms: pass large terms between hosts from memory and in parts

What hosts saw: while a host's own connection counted as lost, it read the row of the terms through two others every 400 ms, and followed the feed through up to six.

Change: a host without a connection asks others for what they have in memory (terms_part), with what it has. Newer terms come in parts of 64 KiB, each a call of its own; a part that has arrived stays, and another host continues it. The feed of the terms waits for the own connection. The row is read through others only if these have no terms. Commits keep a limit for their whole, since leases depend on it.

--- a/lib/host/src/entry_host.rs
+++ b/lib/host/src/entry_host.rs
@@ -96,7 +96,7 @@
         let relay_terms = Arc::clone(&current_terms);
         let relay = relay::DirectRelay {
             store: Arc::clone(&store),
-            terms: Arc::new(move || relay_terms.source_text()),
+            terms: Arc::new(move || relay_terms.source_terms()),
         };
         let peer_server = peers::serve(settings.peer_address, Arc::new(relay))?;
         task::spawn(host_registry::run(
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -207,6 +207,42 @@
         result
     }
 
+    /// Returns the changes of a table like [`Store::changes`], but only through this host's own
+    /// connection. For a table with large rows: what is read through another host passes over two
+    /// links, as a whole.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Store::changes`], and at once while the own connection is lost.
+    pub async fn direct_changes(
+        &self,
+        table: &str,
+        version: u64,
+        wait: Duration,
+    ) -> Result<store::Changes, PlatformError> {
+        match &self.path {
+            Some(path) => path.own_changes(table, version, wait).await,
+            // Without the option `probed`, the feed has no other way.
+            None => self.changes(table, version, wait).await,
+        }
+    }
+
+    /// Returns a part of the terms of the host at `address`; see [`peers::PeerLink::terms_part`].
+    ///
+    /// # Errors
+    ///
+    /// Fails if the host doesn't reply.
+    pub async fn peer_terms(
+        &self,
+        address: SocketAddr,
+        position: peers::TermsPosition,
+    ) -> Result<Option<peers::TermsPart>, PlatformError> {
+        match &self.path {
+            Some(path) => path.links.terms_part(address, position).await,
+            None => peers::PeerLink::terms_part(&*self.peers, address, position).await,
+        }
+    }
+
     /// Reads through several other hosts concurrently and returns the first result. Asking one
     /// after the other would take many seconds if hosts don't respond.
     ///
@@ -371,8 +407,8 @@
 pub struct DirectRelay {
     /// Provides this host's own connection and its state.
     pub store: Arc<RelayedStore>,
-    /// Returns the operators' text of this host's current terms, or `None` before any are received.
-    pub terms: Arc<dyn Fn() -> Option<Arc<str>> + Send + Sync>,
+    /// Returns this host's current terms, or `None` before any are received.
+    pub terms: Arc<dyn Fn() -> Option<peers::SourceTerms> + Send + Sync>,
 }
 
 /// Counts a long poll until it ends or is dropped, because its caller is gone.
@@ -439,7 +475,7 @@
         }
     }
 
-    fn terms(&self) -> Option<Arc<str>> {
+    fn terms(&self) -> Option<peers::SourceTerms> {
         (self.terms)()
     }
 
--- a/lib/host/src/store_path.rs
+++ b/lib/host/src/store_path.rs
@@ -210,7 +210,7 @@
 /// Calls to the store by the path that works.
 pub struct StorePath {
     pub(crate) direct: Arc<dyn Store>,
-    links: Arc<dyn peers::PeerLink>,
+    pub(crate) links: Arc<dyn peers::PeerLink>,
     pub(crate) peers: Arc<peers::Peers>,
     pub(crate) clock: clock::Clock,
     pub(crate) metrics: Arc<metrics::Metrics>,
--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -7,7 +7,7 @@
 
 use camphorbeam_clock as clock;
 use camphorbeam_model::{id, terms};
-use camphorbeam_platform::store::{self, Store};
+use camphorbeam_platform::store;
 use futures::future;
 
 use crate::{feed_pacing, operator_requests, peers, platform_schema, relay, wakeup};
@@ -29,8 +29,8 @@
 /// Time between two rounds of requests to other hosts.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Timeout of a request for the terms of another host, which has them in memory, and of a read from
-/// the store through other hosts.
+/// Timeout of a request for a part of another host's terms, which has them in memory, and of a read
+/// from the store through other hosts.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Number of other hosts that are asked for their terms in one round.
@@ -66,8 +66,12 @@
 
     /// Returns the current terms in the operators' original text, or `None` before any are
     /// received.
-    pub fn source_text(&self) -> Option<Arc<str>> {
-        self.lock().text.clone()
+    pub fn source_terms(&self) -> Option<peers::SourceTerms> {
+        let state = self.lock();
+        state.text.clone().map(|text| peers::SourceTerms {
+            version: state.terms.version,
+            text,
+        })
     }
 
     /// Wakes `subscriber` at each new version, for the life of this object.
@@ -235,7 +239,7 @@
         let row_key = self.schema.terms_key();
         match self
             .store
-            .changes(&row_key.table, version, FEED_POLL_TIMEOUT)
+            .direct_changes(&row_key.table, version, FEED_POLL_TIMEOUT)
             .await
         {
             Ok(store::Changes::Rows(changes)) => {
@@ -285,45 +289,158 @@
         }
     }
 
-    /// While this host's own connection fails, reads the terms from the store through other hosts.
-    /// These reads also record whether the store can be reached at all. If they fail, asks other
-    /// hosts for the terms that they have.
+    /// While this host's own connection fails, asks other hosts for newer terms. If they have none
+    /// at all, reads the row from the store through others.
     async fn watch_peers(&self) {
         let key = self.schema.terms_key();
         let end = format!("{}\0", key.key);
+        let mut partial = PartialTerms::default();
         loop {
             self.clock.sleep(PEER_INTERVAL).await;
+            if partial.version <= self.current_terms.version() {
+                partial = PartialTerms::default();
+            }
             if self.store.is_direct_working() {
                 continue;
             }
-            let reading = self
-                .store
-                .relayed_rows(&key.table, &key.part, &key.key, &end);
-            if let Ok(Ok(mut rows)) = self.clock.timeout(PEER_TIMEOUT, reading).await {
-                if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
-                    self.current_terms
-                        .apply_if_newer(&*self.schema, &text, "relay");
-                }
+            // Without the row, the read shows only whether the store can be reached at all.
+            let from = match self.receive_from_peers(&mut partial).await {
+                PeerTerms::Missing => &key.key,
+                PeerTerms::Confirmed | PeerTerms::Unconfirmed => &end,
+            };
+            let reading = self.store.relayed_rows(&key.table, &key.part, from, &end);
+            let reading = self.clock.timeout(PEER_TIMEOUT, reading).await;
+            let rows = match reading {
+                Ok(Ok(rows)) => rows.rows,
+                Ok(Err(_)) | Err(_) => Vec::new(),
+            };
+            if let Some(text) = rows.into_iter().find_map(|row| row.value) {
+                self.current_terms
+                    .apply_if_newer(&*self.schema, &text, "relay");
+                self.current_terms.record_confirmation(self.clock.now());
+            }
+        }
+    }
+
+    /// Asks some other hosts for newer terms, and receives them.
+    async fn receive_from_peers(&self, partial: &mut PartialTerms) -> PeerTerms {
+        let position = partial.position(self.current_terms.version());
+        let addresses = self
+            .peers
+            .preferred_order()
+            .into_iter()
+            .take(PEERS_PER_ROUND);
+        let calls = addresses.map(|address| async move {
+            let part = self.ask_peer(address, position).await;
+            part.map(|part| (address, part))
+        });
+        let parts = future::join_all(calls).await.into_iter().flatten();
+        let mut outcome = PeerTerms::Unconfirmed;
+        for (address, part) in parts {
+            let (version, reaches_store) = (part.version, part.reaches_store);
+            if version == id::TermsVersion(0) {
+                outcome = outcome.max(PeerTerms::Missing);
                 continue;
             }
-            let addresses = self
-                .peers
-                .preferred_order()
-                .into_iter()
-                .take(PEERS_PER_ROUND);
-            let fetches = addresses.map(|address| self.fetch_from_peer(address));
-            future::join_all(fetches).await;
+            // The host before may have added to what has arrived.
+            let next_position = partial.position(self.current_terms.version());
+            let part = match next_position == position {
+                true => Some(part),
+                false => self.ask_peer(address, next_position).await,
+            };
+            if let Some(part) = part {
+                self.receive_rest(address, part, partial).await;
+            }
+            if reaches_store && self.current_terms.version() >= version {
+                self.current_terms.record_confirmation(self.clock.now());
+                outcome = PeerTerms::Confirmed;
+            }
+        }
+        outcome
+    }
+
+    /// Continues with the host at `address` after its first `part`, until its terms are whole or a
+    /// call fails. What has arrived stays in `partial`.
+    async fn receive_rest(
+        &self,
+        address: SocketAddr,
+        mut part: peers::TermsPart,
+        partial: &mut PartialTerms,
+    ) {
+        while part.version > self.current_terms.version() {
+            if let Some(text) = partial.add(&part) {
+                self.current_terms
+                    .apply_if_newer(&*self.schema, &text, "peer");
+                // Also if it can't be decoded: the next round asks again.
+                return;
+            }
+            if part.text.is_empty() {
+                return;
+            }
+            let position = partial.position(self.current_terms.version());
+            match self.ask_peer(address, position).await {
+                Some(next) => part = next,
+                None => return,
+            }
+        }
+    }
+
+    /// Returns `None` if the host doesn't reply. One of an earlier build counts as without terms.
+    async fn ask_peer(
+        &self,
+        address: SocketAddr,
+        position: peers::TermsPosition,
+    ) -> Option<peers::TermsPart> {
+        let call = self.store.peer_terms(address, position);
+        match self.clock.timeout(PEER_TIMEOUT, call).await {
+            Ok(Ok(part)) => Some(part.unwrap_or_default()),
+            Ok(Err(_)) | Err(_) => {
+                self.peers.demote(address);
+                None
+            }
         }
     }
+}
+
+/// What other hosts have told of the newest terms.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum PeerTerms {
+    /// None that reaches the store has told its version, or this host doesn't have that one yet.
+    Unconfirmed,
+    /// Those that replied have no terms.
+    Missing,
+    /// This host has the version of one that reaches the store.
+    Confirmed,
+}
+
+/// The part of another version's text that has arrived from other hosts. All of them have the same
+/// text of a version.
+#[derive(Debug, Default)]
+struct PartialTerms {
+    version: id::TermsVersion,
+    text: String,
+}
 
-    async fn fetch_from_peer(&self, address: SocketAddr) {
-        let fetch = self.peers.terms(address);
-        match self.clock.timeout(PEER_TIMEOUT, fetch).await {
-            Ok(Ok(Some(text))) => self
-                .current_terms
-                .apply_if_newer(&*self.schema, &text, "peer"),
-            Ok(Ok(None)) => {}
-            Ok(Err(_)) | Err(_) => self.peers.demote(address),
+impl PartialTerms {
+    fn position(&self, version: id::TermsVersion) -> peers::TermsPosition {
+        peers::TermsPosition {
+            version,
+            partial_version: self.version,
+            partial_bytes: self.text.len(),
+        }
+    }
+
+    /// Adds `part`; returns the text once it is whole, and starts anew.
+    fn add(&mut self, part: &peers::TermsPart) -> Option<String> {
+        match part.offset_bytes {
+            0 => {
+                self.version = part.version;
+                self.text.clear();
+            }
+            offset if part.version == self.version && offset == self.text.len() => {}
+            _ => return None,
         }
+        self.text.push_str(&part.text);
+        (self.text.len() >= part.whole_bytes).then(|| std::mem::take(self).text)
     }
 }
--- a/lib/host/tests/test_large_replies.rs
+++ b/lib/host/tests/test_large_replies.rs
@@ -1,14 +1,15 @@
 //! Large values arrive over narrow links. Each test names the failure it guards against.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_trait::async_trait;
 use camphorbeam_clock as clock;
 use camphorbeam_clock::transfer;
-use camphorbeam_host::{metrics, peers, platform_schema, relay, store_path, terms_watcher};
+use camphorbeam_host::platform_schema::PlatformSchema as _;
+use camphorbeam_host::{peers, platform_schema, relay, store_path, terms_watcher};
 use camphorbeam_model::{fleet, id, terms};
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
 use camphorbeam_platform::store::{self, Store};
@@ -129,6 +130,7 @@
 struct LinkedStore {
     memory: MemoryStore,
     link: Arc<Link>,
+    is_cut: Arc<AtomicBool>,
 }
 
 fn value_bytes(rows: &store::Rows) -> usize {
@@ -160,6 +162,9 @@
         to: &str,
         progress: &transfer::Progress,
     ) -> Reply<store::Rows> {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return Err(failed());
+        }
         let rows = self.memory.rows(table, part, from, to).await?;
         self.link.transfer(value_bytes(&rows), progress).await;
         Ok(rows)
@@ -172,6 +177,9 @@
         wait: Duration,
         progress: &transfer::Progress,
     ) -> Reply<store::Changes> {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return Err(failed());
+        }
         let changes = self.memory.changes(table, version, wait).await?;
         if let store::Changes::Rows(rows) = &changes {
             self.link.transfer(value_bytes(rows), progress).await;
@@ -180,33 +188,127 @@
     }
 }
 
-/// A host that follows the terms, over a link of its own.
+/// Another host, which receives the terms at once and has a narrow link of its own.
+#[derive(Clone)]
+struct FakePeer {
+    store: LinkedStore,
+    /// Number of calls for parts of its terms that it answers before it fails for good.
+    parts_left: Arc<AtomicU64>,
+}
+
+struct FakePeers(Vec<FakePeer>);
+
+fn failed() -> PlatformError {
+    PlatformError::NotApplied {
+        reason: "the link is down".to_owned(),
+    }
+}
+
+#[async_trait]
+impl peers::PeerLink for FakePeers {
+    async fn rows(
+        &self,
+        at: SocketAddr,
+        t: &str,
+        p: &str,
+        from: &str,
+        to: &str,
+    ) -> Reply<store::Rows> {
+        let peer = &self.0[usize::from(at.port())];
+        let rows = peer.store.rows(t, p, from, to).await?;
+        // Passed on over the same link.
+        let progress = transfer::Progress::default();
+        let sending = peer.store.link.transfer(value_bytes(&rows), &progress);
+        sending.await;
+        Ok(rows)
+    }
+
+    async fn commit(&self, _: SocketAddr, _: &store::Transaction) -> Reply<store::Commit> {
+        Err(failed())
+    }
+
+    async fn changes(
+        &self,
+        _: SocketAddr,
+        _: &str,
+        _: u64,
+        _: Duration,
+    ) -> Reply<Option<store::Changes>> {
+        Err(failed())
+    }
+
+    async fn reaches_store(&self, _: SocketAddr) -> Reply<Option<bool>> {
+        Ok(Some(true))
+    }
+
+    async fn terms_part(
+        &self,
+        at: SocketAddr,
+        position: peers::TermsPosition,
+    ) -> Reply<Option<peers::TermsPart>> {
+        let peer = &self.0[usize::from(at.port())];
+        let left = peer.parts_left.load(Ordering::SeqCst);
+        if left == 0 {
+            return Err(failed());
+        }
+        peer.parts_left.store(left - 1, Ordering::SeqCst);
+        let text = peer.store.memory.value(&terms_key()).unwrap();
+        let terms = peers::SourceTerms {
+            version: PaddedVersionSchema.decode_terms(&text).unwrap().version,
+            text: text.into(),
+        };
+        let part = peers::TermsPart::after(position, Some(&terms), true);
+        let progress = transfer::Progress::default();
+        peer.store.link.transfer(part.text.len(), &progress).await;
+        Ok(Some(part))
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    ([127, 0, 0, 1], port).into()
+}
+
+/// A host that follows the terms, over a link of its own. Others exist if `peers` has any.
 struct Fixture {
+    peers: Vec<FakePeer>,
     tasks: Vec<BoxFuture<'static, ()>>,
     time: clock::ManualTime,
     memory: MemoryStore,
     link: Arc<Link>,
+    is_cut: Arc<AtomicBool>,
     current_terms: Arc<terms_watcher::CurrentTerms>,
 }
 
 impl Fixture {
     /// Version 1 of the terms is small and in force.
     fn new() -> Self {
+        Self::with_peers(0)
+    }
+
+    fn with_peers(peer_count: u16) -> Self {
         let (clock, time) = clock::Clock::manual(0);
         let memory = MemoryStore::with_feed_clock(clock.clone());
         memory.put(&terms_key(), &padded_terms(1, 10));
-        let link = Arc::new(Link::new(clock.clone()));
-        let own_address: SocketAddr = ([127, 0, 0, 1], 1).into();
-        let peers = Arc::new(peers::Peers::new(own_address, &[]));
+        let new_store = || LinkedStore {
+            memory: memory.clone(),
+            link: Arc::new(Link::new(clock.clone())),
+            is_cut: Arc::default(),
+        };
+        let new_peer = |_| FakePeer {
+            store: new_store(),
+            parts_left: Arc::new(AtomicU64::new(u64::MAX)),
+        };
+        let fake_peers: Vec<_> = (0..peer_count).map(new_peer).collect();
+        let addresses: Vec<_> = (0..peer_count).map(address).collect();
+        let peers = Arc::new(peers::Peers::new(address(peer_count), &addresses));
+        let own_store = new_store();
+        let (link, is_cut) = (Arc::clone(&own_store.link), Arc::clone(&own_store.is_cut));
         let path = Arc::new(store_path::StorePath::new(
-            Arc::new(LinkedStore {
-                memory: memory.clone(),
-                link: Arc::clone(&link),
-            }),
-            Arc::clone(&peers) as _,
+            Arc::new(own_store),
+            Arc::new(FakePeers(fake_peers.clone())),
             Arc::clone(&peers),
             clock.clone(),
-            Arc::new(metrics::Metrics::default()),
+            Arc::default(),
         ));
         let current_terms = Arc::new(terms_watcher::CurrentTerms::default());
         let watcher = terms_watcher::TermsWatcher {
@@ -221,7 +323,9 @@
             time,
             memory,
             link,
+            is_cut,
             current_terms,
+            peers: fake_peers,
         };
         fixture.run_for(Duration::from_millis(1_000));
         assert_eq!(fixture.version(), 1);
@@ -292,3 +396,28 @@
         "{used_bytes} bytes"
     );
 }
+
+/// Guards against a host without a connection of its own that never has large terms, because other
+/// hosts pass them on as a whole; and against one that asks for what it has.
+#[rstest]
+#[case::whole([u64::MAX, u64::MAX])]
+#[case::each_host_passes_on_a_few_parts([8, 9])]
+fn test_large_terms_arrive_through_hosts_with_narrow_links(#[case] parts: [u64; 2]) {
+    let mut fixture = Fixture::with_peers(2);
+    fixture.is_cut.store(true, Ordering::SeqCst);
+    fixture.run_for(Duration::from_millis(2_000));
+    for (peer, parts) in fixture.peers.iter().zip(parts) {
+        peer.parts_left.store(parts, Ordering::SeqCst);
+    }
+    fixture
+        .memory
+        .put(&terms_key(), &padded_terms(2, LARGE_BYTES));
+    fixture.run_for(IN_FORCE_MAX);
+    assert_eq!(fixture.version(), 2);
+    fixture.run_for(Duration::from_millis(10_000));
+    let links = fixture.peers.iter().map(|peer| &peer.store.link);
+    let passed = links.map(|link| link.passed_bytes.load(Ordering::SeqCst));
+    // The text once, and the first part from both hosts.
+    let text_bytes = LARGE_BYTES as u64 * 4 / 3;
+    assert!(passed.sum::<u64>() <= text_bytes * 11 / 10);
+}
