terms: don't go back behind what is known after a stale read

What callers would have seen: terms not in force for seconds, while reads of the store are behind and its history is dropped.

After a failed call of the feed the position was forgotten, and an old read took its place; the feed from there is refused, since the store has dropped those changes, and so on until reads are fresh.

Change: the version up to which all is known only rises, as before; a failure makes a read due, and nothing else. A read that falls due during a loss is put off, and failures in a row are logged once.

--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -143,14 +143,14 @@
     }
 }
 
-/// What follows from one call to the store.
+/// Result of one call to the store for new terms.
 enum Step {
-    /// The feed continues from this version of the store.
+    /// The version of the store in its reply.
     Continue(u64),
-    /// The call failed. Calls may fail while others work.
-    Retry,
+    /// The call failed, with the reason. Calls may fail while others work.
+    Failed(String),
     /// The changes since the last version are gone, so the row has to be read.
-    Restart,
+    HistoryGone,
 }
 
 /// Updates the current terms from the store and, while this host's own connection to it fails,
@@ -177,36 +177,44 @@
     }
 
     async fn watch_store(&self) {
-        let mut position = None;
+        // All changes up to this version of the store are known. A read may be of an older one.
+        let mut version = 0;
         let mut read_due_at = clock::Monotonic::default();
+        let mut is_failing = false;
         let mut pacing = feed_pacing::FeedPacing::new(self.clock.clone());
         loop {
             let started_at = self.clock.now();
-            let step = match position {
-                Some(version) if started_at < read_due_at => self.poll_changes(version).await,
-                Some(_) | None => {
-                    let step = self.read_row().await;
-                    let now = self.clock.now();
-                    let pause = READ_PAUSE_RATIO * now.since(started_at);
-                    read_due_at = now.plus(READ_INTERVAL.max(pause));
-                    step
-                }
+            let is_read_due = started_at >= read_due_at;
+            let step = match is_read_due {
+                true => self.read_row().await,
+                false => self.poll_changes(version).await,
             };
-            match step {
-                Step::Continue(newest) if Some(newest) > position => {
-                    position = Some(newest);
-                    pacing.record_productive();
+            let now = self.clock.now();
+            match &step {
+                Step::Continue(newest) => {
+                    is_failing = false;
+                    if is_read_due {
+                        let pause = READ_PAUSE_RATIO * now.since(started_at);
+                        read_due_at = now.plus(READ_INTERVAL.max(pause));
+                    }
+                    match *newest > version {
+                        true => pacing.record_productive(),
+                        false => pacing.record_unproductive().await,
+                    }
+                    version = version.max(*newest);
+                    continue;
                 }
-                Step::Continue(_) => pacing.record_unproductive().await,
                 // The feed will continue where it was, which costs less than a read of large terms.
-                Step::Retry if position.is_some() && !self.store.is_direct_working() => {
-                    self.clock.sleep(RETRY_DELAY).await;
-                }
-                Step::Retry | Step::Restart => {
-                    position = None;
-                    self.clock.sleep(RETRY_DELAY).await;
+                Step::Failed(_) if version > 0 && !self.store.is_direct_working() => {
+                    read_due_at = read_due_at.max(now.plus(READ_INTERVAL));
                 }
+                Step::Failed(_) | Step::HistoryGone => read_due_at = now,
+            }
+            if !is_failing {
+                self.log_failure(is_read_due, &step);
             }
+            is_failing = true;
+            self.clock.sleep(RETRY_DELAY).await;
         }
     }
 
@@ -219,10 +227,7 @@
             .direct_rows(&key.table, &key.part, &key.key, &end);
         let mut rows = match reading.await {
             Ok(rows) => rows,
-            Err(error) => {
-                self.log_failure("read", &error.to_string());
-                return Step::Retry;
-            }
+            Err(error) => return Step::Failed(error.to_string()),
         };
         if let Some(text) = rows.rows.pop().and_then(|row| row.value) {
             self.current_terms
@@ -259,21 +264,24 @@
                 Step::Continue(changes.version)
             }
             Ok(store::Changes::HistoryGone) => {
-                self.log_failure("feed", "the store has dropped its history");
                 self.current_terms.operator_feed.record_failure();
-                Step::Restart
+                Step::HistoryGone
             }
             Err(error) => {
-                self.log_failure("feed", &error.to_string());
                 self.current_terms.operator_feed.record_failure();
-                Step::Retry
+                Step::Failed(error.to_string())
             }
         }
     }
 
-    /// Logs that a call for new terms failed, with what this host holds meanwhile. The callers
-    /// pause after each failure.
-    fn log_failure(&self, way: &'static str, reason: &str) {
+    /// Logs that a call for new terms failed, with what this host holds meanwhile.
+    fn log_failure(&self, is_read: bool, step: &Step) {
+        let reason = match step {
+            Step::Failed(reason) => reason.as_str(),
+            Step::HistoryGone => "the store has dropped its history",
+            Step::Continue(_) => return,
+        };
+        let way = if is_read { "read" } else { "feed" };
         let age = self.current_terms.confirmation_age(self.clock.now());
         let age_ms = age.map_or(-1, |age| age.as_millis() as i64);
         spdlog::warn!("terms not confirmed", kv: {
--- a/lib/host/tests/test_large_replies.rs
+++ b/lib/host/tests/test_large_replies.rs
@@ -131,6 +131,10 @@
     memory: MemoryStore,
     link: Arc<Link>,
     is_cut: Arc<AtomicBool>,
+    /// What reads of the terms return in place of the rows.
+    stale_rows: Arc<Mutex<Option<store::Rows>>>,
+    /// Whether the next call of the feed fails, after a while.
+    fails_next_feed: Arc<AtomicBool>,
 }
 
 fn value_bytes(rows: &store::Rows) -> usize {
@@ -165,7 +169,11 @@
         if self.is_cut.load(Ordering::SeqCst) {
             return Err(failed());
         }
-        let rows = self.memory.rows(table, part, from, to).await?;
+        let stale_rows = self.stale_rows.lock().unwrap().clone();
+        let rows = match stale_rows.filter(|_| table == terms_key().table) {
+            Some(rows) => rows,
+            None => self.memory.rows(table, part, from, to).await?,
+        };
         self.link.transfer(value_bytes(&rows), progress).await;
         Ok(rows)
     }
@@ -180,6 +188,10 @@
         if self.is_cut.load(Ordering::SeqCst) {
             return Err(failed());
         }
+        if self.fails_next_feed.swap(false, Ordering::SeqCst) {
+            self.link.clock.sleep(Duration::from_millis(200)).await;
+            return Err(failed());
+        }
         let changes = self.memory.changes(table, version, wait).await?;
         if let store::Changes::Rows(rows) = &changes {
             self.link.transfer(value_bytes(rows), progress).await;
@@ -275,7 +287,8 @@
     time: clock::ManualTime,
     memory: MemoryStore,
     link: Arc<Link>,
-    is_cut: Arc<AtomicBool>,
+    own_store: LinkedStore,
+    path: Arc<store_path::StorePath>,
     current_terms: Arc<terms_watcher::CurrentTerms>,
 }
 
@@ -293,6 +306,8 @@
             memory: memory.clone(),
             link: Arc::new(Link::new(clock.clone())),
             is_cut: Arc::default(),
+            stale_rows: Arc::default(),
+            fails_next_feed: Arc::default(),
         };
         let new_peer = |_| FakePeer {
             store: new_store(),
@@ -302,9 +317,8 @@
         let addresses: Vec<_> = (0..peer_count).map(address).collect();
         let peers = Arc::new(peers::Peers::new(address(peer_count), &addresses));
         let own_store = new_store();
-        let (link, is_cut) = (Arc::clone(&own_store.link), Arc::clone(&own_store.is_cut));
         let path = Arc::new(store_path::StorePath::new(
-            Arc::new(own_store),
+            Arc::new(own_store.clone()),
             Arc::new(FakePeers(fake_peers.clone())),
             Arc::clone(&peers),
             clock.clone(),
@@ -319,11 +333,12 @@
             clock,
         };
         let mut fixture = Self {
-            tasks: vec![path.run().boxed(), watcher.run().boxed()],
+            tasks: vec![Arc::clone(&path).run().boxed(), watcher.run().boxed()],
             time,
             memory,
-            link,
-            is_cut,
+            link: Arc::clone(&own_store.link),
+            own_store,
+            path,
             current_terms,
             peers: fake_peers,
         };
@@ -404,7 +419,7 @@
 #[case::each_host_passes_on_a_few_parts([8, 9])]
 fn test_large_terms_arrive_through_hosts_with_narrow_links(#[case] parts: [u64; 2]) {
     let mut fixture = Fixture::with_peers(2);
-    fixture.is_cut.store(true, Ordering::SeqCst);
+    fixture.own_store.is_cut.store(true, Ordering::SeqCst);
     fixture.run_for(Duration::from_millis(2_000));
     for (peer, parts) in fixture.peers.iter().zip(parts) {
         peer.parts_left.store(parts, Ordering::SeqCst);
@@ -421,3 +436,33 @@
     let text_bytes = LARGE_BYTES as u64 * 4 / 3;
     assert!(passed.sum::<u64>() <= text_bytes * 11 / 10);
 }
+
+/// Guards against a host that goes back behind what it knows after a read of an old state, and then
+/// finds that the store has dropped the changes since.
+#[test]
+fn test_terms_are_in_force_in_time_beside_stale_reads() {
+    let mut fixture = Fixture::new();
+    let key = terms_key();
+    let read = fixture.memory.rows(&key.table, &key.part, &key.key, "u");
+    let stale_rows = read.now_or_never().unwrap().unwrap();
+    fixture.memory.put(&key, &padded_terms(2, 10));
+    fixture.run_for(Duration::from_millis(500));
+    assert_eq!(fixture.version(), 2);
+    fixture.memory.forget_history();
+    *fixture.own_store.stale_rows.lock().unwrap() = Some(stale_rows);
+    // Other calls succeed, so that the connection isn't judged lost by the feed's failure.
+    let (path, clock) = (Arc::clone(&fixture.path), fixture.link.clock.clone());
+    let reading = async move {
+        loop {
+            path.rows("hosts", "", "a", "b").await.unwrap();
+            clock.sleep(Duration::from_millis(50)).await;
+        }
+    };
+    fixture.tasks.push(reading.boxed());
+    let fails_next_feed = &fixture.own_store.fails_next_feed;
+    fails_next_feed.store(true, Ordering::SeqCst);
+    fixture.run_for(Duration::from_millis(2_000));
+    fixture.memory.put(&key, &padded_terms(3, 10));
+    fixture.run_for(IN_FORCE_MAX);
+    assert_eq!(fixture.version(), 3);
+}
