terms: a module of their own for parts between hosts

Both sides of the message, what a host sends and how the other puts it together, were in two files beside other things. No behaviour changes.

--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod settings;
 pub mod standby_rank;
 pub mod store_path;
+pub mod terms_parts;
 pub mod terms_watcher;
 pub mod wakeup;
--- a/lib/host/src/peers.rs
+++ b/lib/host/src/peers.rs
@@ -15,6 +15,8 @@
 use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
 use jsonrpsee::types::{ErrorCode, ErrorObjectOwned};
 
+use crate::terms_parts;
+
 /// Timeout of a call to another host; longer than that of the direct call to the store that the
 /// other host makes meanwhile.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_900);
@@ -25,10 +27,6 @@
 /// Maximum number of concurrent connections from other hosts.
 const CONNECTIONS_MAX: u32 = 128;
 
-/// Maximum length of a [`TermsPart`]. It takes a tenth of a second on a link of 10 Mbit/s that
-/// carries other calls too.
-const TERMS_PART_BYTES: usize = 64 * 1024;
-
 /// Error code of a call that certainly had no effect.
 const NOT_APPLIED_CODE: i32 = 1;
 
@@ -38,80 +36,6 @@
 /// Error code of a call that may have had an effect.
 const UNKNOWN_CODE: i32 = 3;
 
-/// Terms of the operators as a host has received them.
-#[derive(Clone, Debug)]
-pub struct SourceTerms {
-    /// Version of the terms.
-    pub version: id::TermsVersion,
-    /// The operators' original text.
-    pub text: Arc<str>,
-}
-
-/// A part of the text of another host's terms. A large text is passed on in parts, so that each
-/// call is short and what has arrived isn't lost with a failed call.
-#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct TermsPart {
-    /// Version of the host's terms; zero before it has received any.
-    pub version: id::TermsVersion,
-    /// Whether the host's own connection to the store works, as far as it knows.
-    pub reaches_store: bool,
-    /// Length of the whole text, in bytes.
-    pub whole_bytes: usize,
-    /// Position in the text from which on this part has it, in bytes.
-    pub offset_bytes: usize,
-    /// The text; empty if the version isn't newer than the one that the caller has.
-    pub text: String,
-}
-
-/// What the caller of a [`TermsPart`] has.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct TermsPosition {
-    /// Version in force at the caller; zero before it has any.
-    pub version: id::TermsVersion,
-    /// Version of which the caller has received a part; zero if none.
-    pub partial_version: id::TermsVersion,
-    /// Length of that part from the start of the text, in bytes.
-    pub partial_bytes: usize,
-}
-
-impl TermsPart {
-    /// Returns the part of `terms` that continues `position`.
-    pub fn after(
-        position: TermsPosition,
-        terms: Option<&SourceTerms>,
-        reaches_store: bool,
-    ) -> Self {
-        let Some(terms) = terms else {
-            return Self {
-                reaches_store,
-                ..Self::default()
-            };
-        };
-        let text = &*terms.text;
-        let offset_bytes = match position.partial_bytes {
-            bytes if position.partial_version == terms.version && text.is_char_boundary(bytes) => {
-                bytes
-            }
-            _ => 0,
-        };
-        let end = match terms.version > position.version {
-            true => (offset_bytes + TERMS_PART_BYTES).min(text.len()),
-            false => offset_bytes,
-        };
-        // A character has at most four bytes, so the part isn't empty.
-        let end = (offset_bytes..=end)
-            .rev()
-            .find(|end| text.is_char_boundary(*end));
-        Self {
-            version: terms.version,
-            reaches_store,
-            whole_bytes: text.len(),
-            offset_bytes,
-            text: text[offset_bytes..end.unwrap_or(offset_bytes)].to_owned(),
-        }
-    }
-}
-
 /// Calls between entry hosts, by which a host that can't reach the store uses another host's
 /// connection.
 #[rpc(server, client)]
@@ -135,7 +59,10 @@
 
     /// Returns the part of the callee's terms that continues `position`.
     #[method(name = "terms_part")]
-    async fn terms_part(&self, position: TermsPosition) -> Result<TermsPart, ErrorObjectOwned>;
+    async fn terms_part(
+        &self,
+        position: terms_parts::TermsPosition,
+    ) -> Result<terms_parts::TermsPart, ErrorObjectOwned>;
 
     /// Returns the callee's current terms in the operators' original text, or `None` before it has
     /// received any. Hosts of earlier builds call it.
@@ -198,7 +125,7 @@
     ) -> Result<store::Commit, PlatformError>;
 
     /// Returns this host's current terms, or `None` before any are received.
-    fn terms(&self) -> Option<SourceTerms>;
+    fn terms(&self) -> Option<terms_parts::SourceTerms>;
 
     /// Returns the changes of `table` after `version` through this host's own connection to the
     /// store, and waits up to `wait` for one.
@@ -252,8 +179,8 @@
     async fn terms_part(
         &self,
         _address: SocketAddr,
-        _position: TermsPosition,
-    ) -> Result<Option<TermsPart>, PlatformError> {
+        _position: terms_parts::TermsPosition,
+    ) -> Result<Option<terms_parts::TermsPart>, PlatformError> {
         Ok(None)
     }
 }
@@ -283,10 +210,17 @@
         commit.map_err(|error| rpc_error(&error))
     }
 
-    async fn terms_part(&self, position: TermsPosition) -> Result<TermsPart, ErrorObjectOwned> {
+    async fn terms_part(
+        &self,
+        position: terms_parts::TermsPosition,
+    ) -> Result<terms_parts::TermsPart, ErrorObjectOwned> {
         let terms = self.handler.terms();
         let reaches_store = self.handler.reaches_store();
-        Ok(TermsPart::after(position, terms.as_ref(), reaches_store))
+        Ok(terms_parts::TermsPart::after(
+            position,
+            terms.as_ref(),
+            reaches_store,
+        ))
     }
 
     async fn terms(&self) -> Result<Option<Arc<str>>, ErrorObjectOwned> {
@@ -514,8 +448,8 @@
     async fn terms_part(
         &self,
         address: SocketAddr,
-        position: TermsPosition,
-    ) -> Result<Option<TermsPart>, PlatformError> {
+        position: terms_parts::TermsPosition,
+    ) -> Result<Option<terms_parts::TermsPart>, PlatformError> {
         let client = self.client(address)?;
         let result = client.terms_part(position).await;
         optional(address, result)
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -12,7 +12,7 @@
 use futures::future;
 use prometheus_client::metrics::gauge::Gauge;
 
-use crate::{metrics, peers, store_path};
+use crate::{metrics, peers, store_path, terms_parts};
 
 /// How long calls skip this host's own connection to the store after it failed.
 const DIRECT_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -235,8 +235,8 @@
     pub async fn peer_terms(
         &self,
         address: SocketAddr,
-        position: peers::TermsPosition,
-    ) -> Result<Option<peers::TermsPart>, PlatformError> {
+        position: terms_parts::TermsPosition,
+    ) -> Result<Option<terms_parts::TermsPart>, PlatformError> {
         match &self.path {
             Some(path) => path.links.terms_part(address, position).await,
             None => peers::PeerLink::terms_part(&*self.peers, address, position).await,
@@ -408,7 +408,7 @@
     /// Provides this host's own connection and its state.
     pub store: Arc<RelayedStore>,
     /// Returns this host's current terms, or `None` before any are received.
-    pub terms: Arc<dyn Fn() -> Option<peers::SourceTerms> + Send + Sync>,
+    pub terms: Arc<dyn Fn() -> Option<terms_parts::SourceTerms> + Send + Sync>,
 }
 
 /// Counts a long poll until it ends or is dropped, because its caller is gone.
@@ -475,7 +475,7 @@
         }
     }
 
-    fn terms(&self) -> Option<peers::SourceTerms> {
+    fn terms(&self) -> Option<terms_parts::SourceTerms> {
         (self.terms)()
     }
 
--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -10,7 +10,7 @@
 use camphorbeam_platform::store;
 use futures::future;
 
-use crate::{feed_pacing, operator_requests, peers, platform_schema, relay, wakeup};
+use crate::{feed_pacing, operator_requests, peers, platform_schema, relay, terms_parts, wakeup};
 
 /// Long-poll timeout of a request for changes. A connection that hangs without being closed is
 /// noticed at the latest after this time plus the read timeout of the store's client.
@@ -66,9 +66,9 @@
 
     /// Returns the current terms in the operators' original text, or `None` before any are
     /// received.
-    pub fn source_terms(&self) -> Option<peers::SourceTerms> {
+    pub fn source_terms(&self) -> Option<terms_parts::SourceTerms> {
         let state = self.lock();
-        state.text.clone().map(|text| peers::SourceTerms {
+        state.text.clone().map(|text| terms_parts::SourceTerms {
             version: state.terms.version,
             text,
         })
@@ -302,11 +302,11 @@
     async fn watch_peers(&self) {
         let key = self.schema.terms_key();
         let end = format!("{}\0", key.key);
-        let mut partial = PartialTerms::default();
+        let mut partial = terms_parts::PartialTerms::default();
         loop {
             self.clock.sleep(PEER_INTERVAL).await;
-            if partial.version <= self.current_terms.version() {
-                partial = PartialTerms::default();
+            if partial.version() <= self.current_terms.version() {
+                partial = terms_parts::PartialTerms::default();
             }
             if self.store.is_direct_working() {
                 continue;
@@ -331,7 +331,7 @@
     }
 
     /// Asks some other hosts for newer terms, and receives them.
-    async fn receive_from_peers(&self, partial: &mut PartialTerms) -> PeerTerms {
+    async fn receive_from_peers(&self, partial: &mut terms_parts::PartialTerms) -> PeerTerms {
         let position = partial.position(self.current_terms.version());
         let addresses = self
             .peers
@@ -372,8 +372,8 @@
     async fn receive_rest(
         &self,
         address: SocketAddr,
-        mut part: peers::TermsPart,
-        partial: &mut PartialTerms,
+        mut part: terms_parts::TermsPart,
+        partial: &mut terms_parts::PartialTerms,
     ) {
         while part.version > self.current_terms.version() {
             if let Some(text) = partial.add(&part) {
@@ -397,8 +397,8 @@
     async fn ask_peer(
         &self,
         address: SocketAddr,
-        position: peers::TermsPosition,
-    ) -> Option<peers::TermsPart> {
+        position: terms_parts::TermsPosition,
+    ) -> Option<terms_parts::TermsPart> {
         let call = self.store.peer_terms(address, position);
         match self.clock.timeout(PEER_TIMEOUT, call).await {
             Ok(Ok(part)) => Some(part.unwrap_or_default()),
@@ -420,35 +420,3 @@
     /// This host has the version of one that reaches the store.
     Confirmed,
 }
-
-/// The part of another version's text that has arrived from other hosts. All of them have the same
-/// text of a version.
-#[derive(Debug, Default)]
-struct PartialTerms {
-    version: id::TermsVersion,
-    text: String,
-}
-
-impl PartialTerms {
-    fn position(&self, version: id::TermsVersion) -> peers::TermsPosition {
-        peers::TermsPosition {
-            version,
-            partial_version: self.version,
-            partial_bytes: self.text.len(),
-        }
-    }
-
-    /// Adds `part`; returns the text once it is whole, and starts anew.
-    fn add(&mut self, part: &peers::TermsPart) -> Option<String> {
-        match part.offset_bytes {
-            0 => {
-                self.version = part.version;
-                self.text.clear();
-            }
-            offset if part.version == self.version && offset == self.text.len() => {}
-            _ => return None,
-        }
-        self.text.push_str(&part.text);
-        (self.text.len() >= part.whole_bytes).then(|| std::mem::take(self).text)
-    }
-}
--- a/lib/host/tests/test_large_replies.rs
+++ b/lib/host/tests/test_large_replies.rs
@@ -9,7 +9,7 @@
 use camphorbeam_clock as clock;
 use camphorbeam_clock::transfer;
 use camphorbeam_host::platform_schema::PlatformSchema as _;
-use camphorbeam_host::{peers, platform_schema, relay, store_path, terms_watcher};
+use camphorbeam_host::{peers, platform_schema, relay, store_path, terms_parts, terms_watcher};
 use camphorbeam_model::{fleet, id, terms};
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
 use camphorbeam_platform::store::{self, Store};
@@ -256,8 +256,8 @@
     async fn terms_part(
         &self,
         at: SocketAddr,
-        position: peers::TermsPosition,
-    ) -> Reply<Option<peers::TermsPart>> {
+        position: terms_parts::TermsPosition,
+    ) -> Reply<Option<terms_parts::TermsPart>> {
         let peer = &self.0[usize::from(at.port())];
         let left = peer.parts_left.load(Ordering::SeqCst);
         if left == 0 {
@@ -265,11 +265,11 @@
         }
         peer.parts_left.store(left - 1, Ordering::SeqCst);
         let text = peer.store.memory.value(&terms_key()).unwrap();
-        let terms = peers::SourceTerms {
+        let terms = terms_parts::SourceTerms {
             version: PaddedVersionSchema.decode_terms(&text).unwrap().version,
             text: text.into(),
         };
-        let part = peers::TermsPart::after(position, Some(&terms), true);
+        let part = terms_parts::TermsPart::after(position, Some(&terms), true);
         let progress = transfer::Progress::default();
         peer.store.link.transfer(part.text.len(), &progress).await;
         Ok(Some(part))
