http: keep the exchange of a call on the heap

Cause: with limits for silence, an exchange is nested one future deeper, and each level holds it twice. In a debug build the demo, which keeps the calls of all its hosts on one stack, overflowed the 2 MB of a test's thread.

Change: the exchange is boxed, one allocation for a call over a socket.

Result: test_demo passes (4 of 4); it failed before.

--- a/lib/http/src/client.rs
+++ b/lib/http/src/client.rs
@@ -144,7 +144,8 @@
             Err(elapsed) => return Err(not_sent(address, elapsed)),
         };
         stream.begin_exchange();
-        let exchange = exchange(stream.clone(), call, &self.clock, progress);
+        // On the heap, since callers keep their calls on the stack, some of them nested.
+        let exchange = Box::pin(exchange(stream.clone(), call, &self.clock, progress));
         let exchange = self
             .clock
             .limit_transfer(limits, started, progress, exchange);
