review: case of more ends than a backend server lists at a time, whose tasks run twice

Looked for: limits of the platform's replies that the scheduler takes for completeness.

While the scheduler is replaced, 1,240 tasks end on one backend server. It lists 500 ends at a time; the runs beyond them are taken for gone and started again. Nothing is fixed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod json;
 mod large_rows;
+mod many_ends;
 mod record;
 mod store;
 mod system;
@@ -35,6 +36,7 @@
     let directory = Path::new(directory);
     let verdict = match case.as_str() {
         "large-rows" => large_rows::run(directory, has_trouble),
+        "many-ends" => many_ends::run(directory, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     match verdict {
