review: case of the number of waiting jobs, which is 0 during each hand-over

Looked for: what other hosts answer while the lease changes its holder.

A released lease and a newly taken one carry no counts, and a missing count is answered as 0 for some tenths of a second. Nothing is fixed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -14,6 +14,7 @@
 mod record;
 mod store;
 mod system;
+mod waiting;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -37,6 +38,7 @@
     let verdict = match case.as_str() {
         "large-rows" => large_rows::run(directory, has_trouble),
         "many-ends" => many_ends::run(directory, has_trouble),
+        "waiting" => waiting::run(directory, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
     match verdict {
