review: case of tasks that preemption starts beyond the limit for each backend server

Looked for: constraints of a step that claims do not carry.

Each task of an urgent step gets a claim of its own, planned without regard to the claims of the other tasks, so that several start on one backend server in spite of anti_affinity. Nothing is fixed.

--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -12,6 +12,7 @@
 mod large_rows;
 mod many_ends;
 mod record;
+mod spread;
 mod store;
 mod system;
 mod waiting;
@@ -38,6 +39,7 @@
     let verdict = match case.as_str() {
         "large-rows" => large_rows::run(directory, has_trouble),
         "many-ends" => many_ends::run(directory, has_trouble),
+        "spread" => spread::run(directory, has_trouble),
         "waiting" => waiting::run(directory, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
     };
