review: case of a takeover over narrow links, after which nothing starts

The logs show one host after the other take the lease and fail to read the stored jobs.

Nothing is fixed.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/camphorbeam ] && [ -x target/review/rig ] || exit 2
-exec target/review/rig new-kind review/5
+exec target/review/rig spread review/5
--- a/review/rig/backend_servers.rs
+++ b/review/rig/backend_servers.rs
@@ -69,8 +69,6 @@
     born_ms: u64,
     began: Instant,
     is_up: bool,
-    /// Whether its writes don't reach the store.
-    is_cut: bool,
     seq: u64,
     token: u64,
     lease_until_ms: u64,
@@ -90,8 +88,6 @@
     pub server: usize,
     pub task: String,
     pub run: u64,
-    /// The kind of the server at that moment.
-    pub kind: String,
     /// Number of other tasks of the same step and occurrence that were running there.
     pub beside: u32,
 }
@@ -264,7 +260,6 @@
             born_ms: unix_ms(),
             began: Instant::now(),
             is_up: true,
-            is_cut: false,
             seq: 0,
             token: 0,
             lease_until_ms: 0,
@@ -287,23 +282,13 @@
     pub fn beat(&self, index: usize) {
         let mut fleet = self.lock();
         let server = &mut fleet.servers[index];
-        if server.is_up && !server.is_cut {
+        if server.is_up {
             server.seq += 1;
             self.store
                 .put("servers", &server.id, &server.entry(self.service));
         }
     }
 
-    /// Cuts a server off from the store, or ends the cut. The entry hosts still reach it.
-    pub fn set_cut(&self, index: usize, is_cut: bool) {
-        let mut fleet = self.lock();
-        let server = &mut fleet.servers[index];
-        server.is_cut = is_cut;
-        let state = if is_cut { "is cut off from" } else { "reaches" };
-        self.record
-            .note(&format!("server {} {state} the store", server.id));
-    }
-
     /// Ends a server's process. What ran there is gone, and it sends nothing.
     pub fn crash(&self, index: usize) {
         let mut fleet = self.lock();
@@ -317,8 +302,8 @@
             .note(&format!("server {} crashes under {tasks} tasks", server.id));
     }
 
-    /// Starts a crashed server again, under its id and at its address, with this kind.
-    pub fn restart(&self, index: usize, kind: &str) {
+    /// Starts a crashed server again, under its id and at its address.
+    pub fn restart(&self, index: usize) {
         let mut fleet = self.lock();
         let server = &mut fleet.servers[index];
         server.is_up = true;
@@ -328,9 +313,8 @@
         server.token = 0;
         server.lease_until_ms = 0;
         server.next_end = 1;
-        server.labels[0] = kind.to_owned();
         self.record
-            .note(&format!("server {} starts again as kind {kind}", server.id));
+            .note(&format!("server {} starts again", server.id));
     }
 
     fn tick(&self) {
@@ -473,15 +457,14 @@
         let step = |name: &str| name.rsplit_once('.').map(|(step, _)| step.to_owned());
         let is_beside = |name: &&String| *name != task && step(name) == step(task);
         let beside = server.running.keys().filter(is_beside).count() as u32;
-        let (id, kind) = (server.id.clone(), server.labels[0].clone());
+        let id = server.id.clone();
         self.record
-            .note(&format!("{task} run {run} starts on {id} (kind {kind})"));
+            .note(&format!("{task} run {run} starts on {id}"));
         fleet.starts.push(Start {
             at: now,
             server: index,
             task: task.to_owned(),
             run,
-            kind,
             beside,
         });
         (200, "")
--- a/review/rig/hosts.rs
+++ b/review/rig/hosts.rs
@@ -10,12 +10,18 @@
 use std::time::{Duration, Instant};
 
 use crate::backend_servers;
-use crate::http;
+use crate::http::{self, Link};
 use crate::store::Store;
 
 /// The port of the metrics in the deploy file's command.
 const METRICS_PORT: u16 = 7010;
 
+/// Bandwidth of a link on the small sites.
+const USUAL_MBPS: f64 = 1_000.0;
+
+/// Bytes of one connection that are on their way over a narrow link.
+const WINDOW: usize = 64 * 1024;
+
 /// Number of the machine whose address marks a network as used. It runs nothing.
 const MARK_MACHINE: usize = 200;
 
@@ -77,7 +83,13 @@
 
 impl Hosts {
     /// Starts `count` entry hosts on the first machines of `network`.
-    pub fn start(count: usize, network: Network, store: &Arc<Store>) -> Option<Hosts> {
+    /// With `narrow_mbps`, what the store sends to each passes over a link of that bandwidth.
+    pub fn start(
+        count: usize,
+        network: Network,
+        store: &Arc<Store>,
+        narrow_mbps: Option<f64>,
+    ) -> Option<Hosts> {
         let directory =
             std::env::temp_dir().join(format!("camphorbeam-review-{}", std::process::id()));
         fs::create_dir_all(&directory).ok()?;
@@ -98,7 +110,8 @@
                 .collect();
             addresses.push((*taken.first()?, *taken.get(1)?, *taken.get(2)?));
             store_addresses.push(*taken.get(3)?);
-            store.serve(listeners.pop()?);
+            let link = narrow_mbps.map(|mbps| Arc::new(Link::new(mbps, WINDOW)));
+            store.serve(listeners.pop()?, link);
         }
         let seeds: Vec<String> = addresses
             .iter()
@@ -117,7 +130,7 @@
                     "\"listen\":{{\"front\":\"{front}\",\"ready\":\"{ready}\",\"control\":\"{control}\"}},",
                     "\"internal_ports\":[7000,7015],\"seeds\":[{seeds}],\"bootstrap\":true,",
                     "\"limits\":{{\"cpu_share\":0.25,\"cores\":1,\"memory_mb\":260,\"max_fds\":4100,",
-                    "\"link_mbps\":1000.0,\"disk_mb\":0}},\"data_dir\":null,\"heartbeat_ms\":1500,",
+                    "\"link_mbps\":{mbps},\"disk_mb\":0}},\"data_dir\":null,\"heartbeat_ms\":1500,",
                     "\"bounds\":{{\"contact_ms\":3000,\"ack_ms\":4000,\"grace_s\":6,",
                     "\"loss_slack_ms\":200,\"config_apply_ms\":2000,\"max_hold_ms\":6000,",
                     "\"stop_ms\":900,\"gang_timeout_ms\":3000,\"cancel_ms\":3000,",
@@ -135,7 +148,8 @@
                 ready = ready,
                 control = control,
                 seeds = seeds.join(","),
-                store = store_address
+                store = store_address,
+                mbps = narrow_mbps.unwrap_or(USUAL_MBPS)
             );
             let path = hosts.directory.join(format!("{name}.json"));
             fs::write(&path, settings).ok()?;
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead as _, BufReader, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub struct Request {
     pub path: String,
@@ -20,18 +20,52 @@
     Close,
 }
 
+/// The link of an entry host, over which the responses to it pass one after the other. Of each
+/// connection at most a window is on its way.
+pub struct Link {
+    bytes_per_s: f64,
+    window: usize,
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    pub fn new(mbps: f64, window: usize) -> Link {
+        Link {
+            bytes_per_s: mbps * 125_000.0,
+            window,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    fn pass(&self, bytes: usize) {
+        let until = {
+            let mut free_at = self.free_at.lock().unwrap();
+            let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+            *free_at = (*free_at).max(Instant::now()) + time;
+            *free_at
+        };
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
 pub type Handler = dyn Fn(Request) -> Reply + Send + Sync;
 
 pub fn serve(listener: TcpListener, handler: Arc<Handler>) {
+    serve_over(listener, None, handler);
+}
+
+/// Serves callers whose responses pass over a link.
+pub fn serve_over(listener: TcpListener, link: Option<Arc<Link>>, handler: Arc<Handler>) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
-            thread::spawn(move || serve_connection(stream, &*handler));
+            let link = link.clone();
+            thread::spawn(move || serve_connection(stream, link.as_deref(), &*handler));
         }
     });
 }
 
-fn serve_connection(stream: TcpStream, handler: &Handler) -> Option<()> {
+fn serve_connection(stream: TcpStream, link: Option<&Link>, handler: &Handler) -> Option<()> {
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
     let mut reader = BufReader::new(stream);
@@ -56,7 +90,14 @@
                     "HTTP/1.1 {status} S\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n",
                     body.len()
                 );
-                writer.write_all((head + &body).as_bytes()).ok()?;
+                let response = head + &body;
+                let window = link.map_or(response.len(), |link| link.window);
+                for part in response.as_bytes().chunks(window) {
+                    if let Some(link) = link {
+                        link.pass(part.len());
+                    }
+                    writer.write_all(part).ok()?;
+                }
             }
             Reply::Close => return None,
         }
--- a/review/rig/large_rows.rs
+++ b/review/rig/large_rows.rs
@@ -81,7 +81,7 @@
         }
         if let Some(server) = crashed.filter(|_| !is_back && began.elapsed() >= CRASH_AT + DOWN) {
             is_back = true;
-            system.servers.restart(server, "a");
+            system.servers.restart(server);
             system.servers.beat(server);
         }
         let host = jobs.len() % HOSTS;
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -11,7 +11,7 @@
 mod json;
 mod large_rows;
 mod many_ends;
-mod new_kind;
+mod narrow_link;
 mod record;
 mod spread;
 mod store;
@@ -40,7 +40,7 @@
     let verdict = match case.as_str() {
         "large-rows" => large_rows::run(directory, has_trouble),
         "many-ends" => many_ends::run(directory, has_trouble),
-        "new-kind" => new_kind::run(directory, has_trouble),
+        "narrow-link" => narrow_link::run(directory, has_trouble),
         "spread" => spread::run(directory, has_trouble),
         "waiting" => waiting::run(directory, has_trouble),
         _ => Verdict::NotRun(format!("no case {case}")),
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{self, Reply, Request};
+use crate::http::{self, Link, Reply, Request};
 use crate::json::{self, Json};
 
 /// Largest value of a row in bytes: `row_bytes` in the settings.
@@ -62,10 +62,11 @@
         })
     }
 
-    /// Serves the store at an address.
-    pub fn serve(self: &Arc<Store>, listener: TcpListener) {
+    /// Serves the store to an entry host, over its link if that is narrow.
+    pub fn serve(self: &Arc<Store>, listener: TcpListener, link: Option<Arc<Link>>) {
         let store = Arc::clone(self);
-        http::serve(listener, Arc::new(move |request| store.answer(&request)));
+        let handler = move |request| store.answer(&request);
+        http::serve_over(listener, link, Arc::new(handler));
     }
 
     /// A write by the operator, or by a server.
--- a/review/rig/system.rs
+++ b/review/rig/system.rs
@@ -9,7 +9,7 @@
 use crate::backend_servers::{BackendServers, JobNeeds, Room};
 use crate::hosts::{Hosts, Network};
 use crate::http;
-use crate::json::{self, Json};
+use crate::json::Json;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -62,13 +62,14 @@
 
 /// A step that a client hands in.
 #[derive(Clone, Copy, Default)]
-pub struct Step<'a> {
+pub struct Step {
     pub count: u32,
     pub need: Room,
     pub work_ms: u64,
-    pub requirements: &'a str,
     /// `anti_affinity`; 0 for no limit.
     pub per_server: u32,
+    /// Length of the text in the job's `spec`.
+    pub spec_bytes: usize,
 }
 
 impl System {
@@ -78,6 +79,17 @@
         host_count: usize,
         room: Room,
         kinds: &[&str],
+    ) -> Result<System, String> {
+        System::start_over(directory, host_count, room, kinds, None)
+    }
+
+    /// The same with entry hosts that have narrow links to the store.
+    pub fn start_over(
+        directory: &Path,
+        host_count: usize,
+        room: Room,
+        kinds: &[&str],
+        narrow_mbps: Option<f64>,
     ) -> Result<System, String> {
         let text = |what: &str| what.to_owned();
         let record = Record::create(directory).map_err(|error| error.to_string())?;
@@ -95,7 +107,7 @@
             let zone = crate::hosts::ZONES[index % crate::hosts::ZONES.len()];
             servers.add(listener, zone, room, kind, &format!("r1-{}", index / 8));
         }
-        let hosts = Hosts::start(host_count, network, &store);
+        let hosts = Hosts::start(host_count, network, &store, narrow_mbps);
         let hosts = hosts.ok_or_else(|| text("the entry hosts don't start"))?;
         record.note("all entry hosts are ready");
         let accepted = BTreeMap::new();
@@ -135,12 +147,10 @@
         if step.per_server > 0 {
             fields += &format!(",\"anti_affinity\":{}", step.per_server);
         }
-        if !step.requirements.is_empty() {
-            fields += &format!(",\"requirements\":{}", json::quote(step.requirements));
-        }
         let body = format!(
-            "{{\"spec\":\"work {}\",\"steps\":[{{{fields}}}]}}",
-            step.work_ms
+            "{{\"spec\":\"work {}{}\",\"steps\":[{{{fields}}}]}}",
+            step.work_ms,
+            ".".repeat(step.spec_bytes)
         );
         let needs = JobNeeds {
             need: step.need,
