--- a/review/rig/backend_servers.rs
+++ b/review/rig/backend_servers.rs
@@ -190,6 +190,12 @@
         self.starts.iter().any(|start| start.task.starts_with(job))
     }
 
+    /// Whether a task of a job of `count` tasks hasn't ended `done`.
+    pub fn has_open_task(&self, job: &str, count: u32) -> bool {
+        let done = self.done.keys().filter(|task| task.starts_with(job));
+        (done.count() as u32) < count
+    }
+
     /// Starts of tasks of which an earlier run has ended `done`, if that end was acknowledged then or
     /// later, each with that end.
     pub fn starts_after_done(&self) -> Vec<(&Start, &Done)> {
