takeover: stored state is read in pages that leave the link to small calls and are kept over failures

Cause: a successor read each partition of the inbox as one call, all eight at once. On a link of 2 Mbit/s their replies wait for each other beyond the client's 1 s without a byte. One cut read failed the whole start, the calls moved to peers behind links of the same kind, and the next try began with the first byte, by this host or the next holder of the lease. Evidence: the logs of all seven hosts (`reply cut` after 65,462 bytes each, `store lost`, `failed to start the scheduler`, a new epoch each 3 s). Ruled out: a silent store, busy processors, unreadable rows.

Change: Store::page reads a part of a partition. A PageBudget bounds the pages that are on their way to what the host's link (limits.link_mbps) passes in 200 ms, so that the lease's renewal and other small calls wait no longer; PartitionReader and StateReader keep what has arrived and go on after a failure, by the own connection or by one peer at a time; InboxReader follows the feed beside the pages, so that a read may outlast the store's history. The feed through peers returns 32 kB in place of 256 kB at once, which passes a link of 2 Mbit/s within its limit.

Why it works: no limit counts the whole of a read any more, each page needs 0.2 s of the link, and the lease is renewed between them.

--- a/lib/host/src/entry_host.rs
+++ b/lib/host/src/entry_host.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     gateway, host_registry, leadership, machines, metrics, peers, platform_schema, relay,
-    scheduler, settings, store_path, terms_watcher,
+    scheduler, settings, store_path, stored_state, terms_watcher,
 };
 
 /// The interfaces of the platform that a host uses.
@@ -73,7 +73,7 @@
             &settings.peer_seeds,
         ));
         let metrics = Arc::new(metrics::Metrics::default());
-        let store = Arc::new(match settings.store_path {
+        let store = match settings.store_path {
             settings::StorePathMode::DirectFirst => relay::RelayedStore::new(
                 platform.store,
                 Arc::clone(&peers),
@@ -91,7 +91,8 @@
                 task::spawn(Arc::clone(&path).run());
                 relay::RelayedStore::with_path(path)
             }
-        });
+        };
+        let store = Arc::new(store.with_link_mbps(settings.link_mbps));
         let current_terms = Arc::new(terms_watcher::CurrentTerms::default());
         let relay_terms = Arc::clone(&current_terms);
         let relay = relay::DirectRelay {
@@ -275,15 +276,12 @@
     is_leaving: &AtomicBool,
     current: &CurrentScheduler,
 ) {
-    let stored_state = loop {
-        let reading = scheduler::StoredState::read(deps);
-        match holder.renew_while(&*deps.store, reading).await {
-            Some(Ok(state)) => break state,
-            Some(Err(error)) => {
-                let reason = error.to_string();
-                spdlog::warn!("failed to start the scheduler; retrying", kv: {
-                    reason = reason.as_str()
-                });
+    let mut reader = stored_state::StateReader::new(deps);
+    loop {
+        match holder.renew_while(&*deps.store, reader.read(deps)).await {
+            Some(Ok(())) => break,
+            // The reader has logged the error.
+            Some(Err(_)) => {
                 deps.clock.sleep(leadership::LEASE_RETRY_DELAY).await;
                 if holder.renew(&*deps.store, Default::default()).await
                     == leadership::LeaseWriteOutcome::Lost
@@ -293,7 +291,8 @@
             }
             None => return,
         }
-    };
+    }
+    let stored_state = reader.into_state();
     let scheduler = scheduler::Scheduler::start_with(deps.clone(), &holder, stored_state);
     deps.metrics.is_scheduling.set(1);
     *current.lock().unwrap_or_else(PoisonError::into_inner) = Arc::downgrade(&scheduler);
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -11,7 +11,7 @@
 use camphorbeam_platform::table::PlatformError;
 
 use crate::call::{Call, Operation, Reply};
-use crate::{metrics, relay, rows, terms_watcher};
+use crate::{metrics, partition_reader, relay, rows, terms_watcher};
 
 /// Deadline of a call that doesn't set one. The call timeout of the queue isn't used.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -361,12 +361,13 @@
     /// Approximates the number of waiting jobs: counts accepted jobs without stored progress, also
     /// those with a schedule, which the scheduler leaves out.
     async fn count_waiting_in_store(&self, queue: &id::QueueName) -> Reply {
-        let (jobs, jobs_with_progress) = (
-            rows::read_inbox(&*self.store).await,
-            self.store
-                .rows(rows::PROGRESS_TABLE, rows::SCHEDULER_PART, "", "")
-                .await,
-        );
+        let budget = self.store.page_budget();
+        let read = |table: &'static str, part: &'static str| {
+            partition_reader::read_partition(&*self.store, budget, table, part)
+        };
+        let inbox = rows::INBOX_PARTS.map(|part| read(rows::INBOX_TABLE, part));
+        let jobs = futures::future::try_join_all(inbox).await;
+        let jobs_with_progress = read(rows::PROGRESS_TABLE, rows::SCHEDULER_PART).await;
         match (jobs, jobs_with_progress) {
             (Ok(jobs), Ok(jobs_with_progress)) => {
                 let jobs_with_progress: std::collections::BTreeSet<String> = jobs_with_progress
@@ -381,7 +382,8 @@
                     let job = parse_row::<job::AcceptedJob>(row);
                     !jobs_with_progress.contains(id) && job.is_some_and(|job| &job.queue == queue)
                 };
-                Reply::Waiting(jobs.rows.iter().filter(is_waiting).count() as u64)
+                let jobs = jobs.iter().flat_map(|part| &part.rows);
+                Reply::Waiting(jobs.filter(is_waiting).count() as u64)
             }
             (Err(error), _) | (_, Err(error)) => store_unavailable(None, &error),
         }
--- a/lib/host/src/peers.rs
+++ b/lib/host/src/peers.rs
@@ -50,6 +50,17 @@
         to: String,
     ) -> Result<store::Rows, ErrorObjectOwned>;
 
+    /// Reads at most `rows_max` rows of a partition from the key `from` on, through the callee's own
+    /// connection.
+    #[method(name = "page")]
+    async fn page(
+        &self,
+        table: String,
+        part: String,
+        from: String,
+        rows_max: usize,
+    ) -> Result<store::Page, ErrorObjectOwned>;
+
     /// Applies a transaction through the callee's own connection.
     #[method(name = "commit")]
     async fn commit(
@@ -118,6 +129,16 @@
         to: &str,
     ) -> Result<store::Rows, PlatformError>;
 
+    /// Reads at most `rows_max` rows of a partition from the key `from` on, through this host's own
+    /// connection to the store.
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError>;
+
     /// Applies a transaction through this host's own connection to the store.
     async fn commit(
         &self,
@@ -153,6 +174,20 @@
         to: &str,
     ) -> Result<store::Rows, PlatformError>;
 
+    /// Reads at most `rows_max` rows of a partition from the key `from` on, through the host at
+    /// `address`. One of an earlier build sends the whole partition.
+    async fn page(
+        &self,
+        address: SocketAddr,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        let reading = self.rows(address, table, part, from, "");
+        Ok(store::Page::first_of(reading.await?, rows_max))
+    }
+
     /// Applies a transaction through the host at `address`.
     async fn commit(
         &self,
@@ -202,6 +237,17 @@
         rows.map_err(|error| rpc_error(&error))
     }
 
+    async fn page(
+        &self,
+        table: String,
+        part: String,
+        from: String,
+        rows_max: usize,
+    ) -> Result<store::Page, ErrorObjectOwned> {
+        let page = self.handler.page(&table, &part, &from, rows_max).await;
+        page.map_err(|error| rpc_error(&error))
+    }
+
     async fn commit(
         &self,
         transaction: store::Transaction,
@@ -418,6 +464,25 @@
         Peers::rows(self, address, table, part, from, to).await
     }
 
+    async fn page(
+        &self,
+        address: SocketAddr,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        let client = self.client(address)?;
+        let result = client.page(table.into(), part.into(), from.into(), rows_max);
+        match optional(address, result.await)? {
+            Some(page) => Ok(page),
+            None => {
+                let reading = Peers::rows(self, address, table, part, from, "");
+                Ok(store::Page::first_of(reading.await?, rows_max))
+            }
+        }
+    }
+
     async fn commit(
         &self,
         address: SocketAddr,
--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -7,12 +7,13 @@
 
 use async_trait::async_trait;
 use camphorbeam_clock as clock;
+use camphorbeam_clock::transfer;
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
 use futures::future;
 use prometheus_client::metrics::gauge::Gauge;
 
-use crate::{metrics, peers, store_path, terms_parts};
+use crate::{metrics, partition_reader, peers, store_path, terms_parts};
 
 /// How long calls skip this host's own connection to the store after it failed.
 const DIRECT_RETRY_DELAY: Duration = Duration::from_millis(700);
@@ -41,6 +42,7 @@
     clock: clock::Clock,
     metrics: Arc<metrics::Metrics>,
     connectivity: Mutex<Connectivity>,
+    page_budget: partition_reader::PageBudget,
     /// Takes the place of the fields above with the option `probed`.
     path: Option<Arc<store_path::StorePath>>,
 }
@@ -65,6 +67,7 @@
         Self {
             direct,
             peers,
+            page_budget: partition_reader::PageBudget::new(clock.clone(), None),
             clock,
             metrics,
             connectivity: Mutex::default(),
@@ -85,6 +88,19 @@
         }
     }
 
+    /// Sets the bandwidth of this host's link, in Mbit/s; not known if not set.
+    pub fn with_link_mbps(self, link_mbps: Option<f64>) -> Self {
+        Self {
+            page_budget: partition_reader::PageBudget::new(self.clock.clone(), link_mbps),
+            ..self
+        }
+    }
+
+    /// How much of this host's link the reads of partitions may occupy.
+    pub fn page_budget(&self) -> &partition_reader::PageBudget {
+        &self.page_budget
+    }
+
     /// Time after which a call of [`Store::changes`] with a long poll of `wait` counts as silent.
     pub fn feed_silence_limit(&self, wait: Duration) -> Duration {
         match &self.path {
@@ -331,6 +347,37 @@
         relayed
     }
 
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+        progress: &transfer::Progress,
+    ) -> Result<store::Page, PlatformError> {
+        match &self.path {
+            Some(path) => path.page(table, part, from, rows_max, progress).await,
+            None if self.is_direct_usable() => {
+                let sent_at = self.clock.now();
+                let reading = self.direct.page(table, part, from, rows_max, progress);
+                let result = reading.await;
+                self.record_call_metrics("direct", &result, sent_at);
+                self.record_direct(&result);
+                match result {
+                    Err(PlatformError::NotApplied { .. } | PlatformError::Unknown { .. }) => {
+                        let relayed = self.relayed_rows(table, part, from, "").await;
+                        Ok(store::Page::first_of(relayed?, rows_max))
+                    }
+                    result => result,
+                }
+            }
+            None => {
+                let relayed = self.relayed_rows(table, part, from, "").await;
+                Ok(store::Page::first_of(relayed?, rows_max))
+            }
+        }
+    }
+
     async fn commit(
         &self,
         transaction: &store::Transaction,
@@ -400,7 +447,7 @@
 const RELAYED_WAIT_MAX: Duration = Duration::from_millis(1_000);
 
 /// Maximum bytes of values in a relayed reply of the change feed, unless one version has more.
-const RELAYED_FEED_BYTES_MAX: usize = 256 * 1024;
+const RELAYED_FEED_BYTES_MAX: usize = 32 * 1024;
 
 /// Handles the calls of other hosts. Calls to the store go only through this host's own connection,
 /// so that they are relayed at most once.
@@ -464,6 +511,27 @@
         }
     }
 
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        match (self.store.is_direct_working(), &self.store.path) {
+            (true, Some(path)) => path.own_page(table, part, from, rows_max).await,
+            (true, None) => {
+                let progress = transfer::Progress::default();
+                let reading = self
+                    .store
+                    .direct
+                    .page(table, part, from, rows_max, &progress);
+                reading.await
+            }
+            (false, _) => Err(unreachable_error()),
+        }
+    }
+
     async fn commit(
         &self,
         transaction: &store::Transaction,
--- a/lib/host/src/rows.rs
+++ b/lib/host/src/rows.rs
@@ -9,8 +9,7 @@
 use std::sync::Arc;
 
 use camphorbeam_model::{id, job};
-use camphorbeam_platform::store::{self, Store};
-use camphorbeam_platform::table::PlatformError;
+use camphorbeam_platform::store;
 
 /// Partition of the lease, the epoch and the progress of jobs.
 pub const SCHEDULER_PART: &str = "main";
@@ -89,27 +88,6 @@
     store::RowKey::new(HOSTS_TABLE, HOSTS_PART, id.as_str())
 }
 
-/// Reads all partitions of the inbox.
-///
-/// # Errors
-///
-/// Fails if any partition can't be read.
-pub async fn read_inbox<S: Store + ?Sized>(store: &S) -> Result<store::Rows, PlatformError> {
-    let reads = INBOX_PARTS.map(|part| store.rows(INBOX_TABLE, part, "", ""));
-    let mut inbox = store::Rows::default();
-    for part in futures::future::try_join_all(reads).await? {
-        // Partitions are read at different versions of the store. The lowest one is returned, so
-        // that a change feed that continues from it misses nothing.
-        inbox.version = match inbox.version {
-            0 => part.version,
-            known => known.min(part.version),
-        };
-        inbox.store_ms = inbox.store_ms.max(part.store_ms);
-        inbox.rows.extend(part.rows);
-    }
-    Ok(inbox)
-}
-
 /// Content of an inbox row.
 #[derive(Clone, Debug, PartialEq)]
 pub enum InboxEntry {
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -21,11 +21,12 @@
 use camphorbeam_model::{fleet, id};
 use camphorbeam_platform::store::{self, Store};
 use camphorbeam_platform::table::PlatformError;
-use futures::future;
 
+use crate::inbox_reader::InboxReader;
+use crate::stored_state::{StateReader, StoredState};
 use crate::{
     advisor, event_log, feed_pacing, leadership, learned_state, machines, metrics,
-    operator_requests, platform_schema, relay, rows, terms_watcher, wakeup,
+    operator_requests, partition_reader, platform_schema, relay, rows, terms_watcher, wakeup,
 };
 
 /// Maximum time that the decision loop waits for a wakeup while there are open jobs.
@@ -115,69 +116,6 @@
     advice_wakeup: wakeup::Wakeup,
 }
 
-/// What a scheduler reads from the store at its start.
-pub struct StoredState {
-    registry: store::Rows,
-    inbox: store::Rows,
-    progress: store::Rows,
-    learned: learned_state::Restored,
-    requests: operator_requests::RequestReader,
-    /// `None` if the requests couldn't be read. Then nothing is placed until a later read succeeds.
-    first_requests: Option<operator_requests::Requests>,
-}
-
-impl StoredState {
-    /// Reads the server registry, the inbox, the stored progress and the learned state.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the store can't be read. The learned state counts as missing in that case, unless
-    /// it is the only one.
-    pub async fn read(deps: &Dependencies) -> Result<Self, PlatformError> {
-        let table = deps.schema.server_registry_table();
-        let mut requests = operator_requests::RequestReader::new(
-            Arc::clone(&deps.store),
-            Arc::clone(&deps.schema),
-            Arc::clone(&deps.current_terms),
-            deps.clock.clone(),
-            Arc::clone(&deps.metrics),
-            deps.settings.evacuate_ms,
-        )
-        .with_waves(deps.maintenance.is_some());
-        // If this read of the requests fails, nothing is placed until a later one succeeds.
-        let reads = future::join(deps.store.rows(table, "", "", ""), requests.read());
-        let (registry, first_requests) = reads.await;
-        let registry = registry?;
-        let inbox = rows::read_inbox(&*deps.store).await?;
-        let reading_progress = deps
-            .store
-            .rows(rows::PROGRESS_TABLE, rows::SCHEDULER_PART, "", "");
-        let reading_learned = read_learned_state(deps);
-        let (progress, learned) = future::join(reading_progress, reading_learned).await;
-        Ok(Self {
-            requests,
-            first_requests: first_requests.ok().flatten(),
-            registry,
-            inbox,
-            progress: progress?,
-            learned,
-        })
-    }
-}
-
-async fn read_learned_state(deps: &Dependencies) -> learned_state::Restored {
-    if deps.settings.learned_state == job_settings::LearnedStateStorage::Memory {
-        return learned_state::Restored::Missing;
-    }
-    match store::read_row(&*deps.store, &rows::learned_key()).await {
-        Ok((row, read)) => {
-            let value = row.and_then(|row| row.value);
-            learned_state::restore(value.as_deref(), read.store_ms)
-        }
-        Err(error) => learned_state::Restored::Ignored(error.to_string()),
-    }
-}
-
 impl Scheduler {
     /// Loads the server registry, the inbox, the stored progress and the learned state, and starts
     /// the background tasks.
@@ -189,8 +127,9 @@
         deps: Dependencies,
         holder: &leadership::LeaseHolder,
     ) -> Result<Arc<Self>, PlatformError> {
-        let state = StoredState::read(&deps).await?;
-        Ok(Self::start_with(deps, holder, state))
+        let mut reader = StateReader::new(&deps);
+        reader.read(&deps).await?;
+        Ok(Self::start_with(deps, holder, reader.into_state()))
     }
 
     /// Starts the background tasks with what was read from the store under the lease of `holder`.
@@ -202,6 +141,7 @@
         let StoredState {
             registry,
             inbox,
+            inbox_changes,
             progress: stored,
             learned,
             requests,
@@ -235,6 +175,9 @@
         scheduler.apply_server_registry(&registry.rows);
         scheduler.apply_requests(first_requests);
         scheduler.apply_inbox(&inbox, &stored.rows);
+        for changes in &inbox_changes {
+            scheduler.apply_inbox(changes, &[]);
+        }
         scheduler
             .deps
             .current_terms
@@ -424,6 +367,7 @@
 
     async fn watch_inbox(self: Arc<Self>, mut version: u64) {
         let mut pacing = feed_pacing::FeedPacing::new(self.deps.clock.clone());
+        let mut unread: Option<InboxReader> = None;
         while !self.is_stopped() {
             let polling = self
                 .deps
@@ -440,6 +384,8 @@
             match changes {
                 Ok(store::Changes::Rows(changes)) if changes.version >= version => {
                     version = changes.version;
+                    // The feed has missed nothing, so the inbox needn't be read.
+                    unread = None;
                     match changes.rows.is_empty() {
                         true => pacing.record_unproductive().await,
                         false => {
@@ -450,24 +396,37 @@
                 }
                 // The reply is older than what is known, so it holds nothing new.
                 Ok(store::Changes::Rows(_)) => self.deps.clock.sleep(STORE_RETRY_DELAY).await,
-                Ok(store::Changes::HistoryGone) | Err(_) => match self.read_inbox().await {
-                    Some(newest) => {
-                        version = newest.max(version);
-                        pacing.record_unproductive().await;
+                Ok(store::Changes::HistoryGone) | Err(_) => {
+                    // Continues from the pages that an earlier attempt has read.
+                    let mut reader = unread.take().unwrap_or_default();
+                    match self.read_inbox(&mut reader).await {
+                        Ok(()) => {
+                            let inbox = reader.into_rows();
+                            self.apply_inbox(&inbox, &[]);
+                            version = inbox.version.max(version);
+                            pacing.record_unproductive().await;
+                        }
+                        Err(_) => {
+                            unread = Some(reader);
+                            self.deps.clock.sleep(STORE_RETRY_DELAY).await;
+                        }
                     }
-                    None => self.deps.clock.sleep(STORE_RETRY_DELAY).await,
-                },
+                }
             }
             self.decide_wakeup.wake();
         }
     }
 
-    /// Reads the whole inbox and returns its version. Entries that are already known have no
-    /// effect.
-    async fn read_inbox(&self) -> Option<u64> {
-        let inbox = rows::read_inbox(&*self.deps.store).await.ok()?;
-        self.apply_inbox(&inbox, &[]);
-        Some(inbox.version)
+    /// Reads the whole inbox. Applies the changes that the feed brings meanwhile at once; entries
+    /// that are already known have no effect.
+    async fn read_inbox(&self, reader: &mut InboxReader) -> Result<(), PlatformError> {
+        let store = &*self.deps.store;
+        let apply = |changes: store::Rows| {
+            self.apply_inbox(&changes, &[]);
+            self.decide_wakeup.wake();
+        };
+        let reading = reader.read(store, store.page_budget(), &self.deps.clock, apply);
+        reading.await
     }
 
     async fn watch_server_registry(self: Arc<Self>, mut version: u64) {
@@ -492,7 +451,9 @@
                 pacing.record_unproductive().await;
                 continue;
             }
-            match self.deps.store.rows(table, "", "", "").await {
+            let store = &*self.deps.store;
+            let reading = partition_reader::read_partition(store, store.page_budget(), table, "");
+            match reading.await {
                 Ok(registry) if registry.version >= version => {
                     match registry.version > version {
                         true => pacing.record_productive(),
--- a/lib/host/src/settings.rs
+++ b/lib/host/src/settings.rs
@@ -43,6 +43,8 @@
     pub peer_seeds: Vec<SocketAddr>,
     /// Processor capacity available to this host, in cores.
     pub processor_cores: f64,
+    /// Bandwidth of this host's link in Mbit/s, if it is known.
+    pub link_mbps: Option<f64>,
     /// Time between the signal to terminate and the kill, in which the process has to shut down by
     /// itself.
     pub shutdown_grace_ms: u64,
--- a/lib/host/src/store_path.rs
+++ b/lib/host/src/store_path.rs
@@ -154,6 +154,8 @@
 /// Time limits of a call through a peer.
 #[derive(Clone, Copy)]
 struct PeerLimits {
+    /// Number of peers that are asked at the same time.
+    peers_at_once: usize,
     timeout: Duration,
     /// Time after sending at which the call ends if the peer has failed another call meanwhile.
     abandon_delay: Duration,
@@ -162,6 +164,7 @@
 impl PeerLimits {
     fn of_read(to: &str) -> Self {
         Self {
+            peers_at_once: PEERS_PER_READ,
             timeout: match to.is_empty() {
                 true => PEER_SCAN_TIMEOUT,
                 false => PEER_READ_TIMEOUT,
@@ -169,6 +172,15 @@
             abandon_delay: SILENCE_MAX,
         }
     }
+
+    /// Limits of a page of a partition. Each reply would take its time on this host's link, so one
+    /// peer is asked after the other.
+    fn of_page() -> Self {
+        Self {
+            peers_at_once: 1,
+            ..Self::of_read("")
+        }
+    }
 }
 
 /// Relation of a peer's zone to that of this host, in the order in which peers are tried. Addresses
@@ -570,7 +582,7 @@
         result
     }
 
-    /// Makes a call without effect through two peers at a time, and returns the first answer.
+    /// Makes a call without effect through some peers at a time, and returns the first answer.
     async fn first_answer<'a, T>(
         &'a self,
         limits: PeerLimits,
@@ -582,7 +594,7 @@
         let mut last_error = relay::unreachable_error();
         loop {
             let is_late = self.clock.now().since(started_at) > relay::RELAY_TIME_LIMIT;
-            while !is_late && calls.len() < PEERS_PER_READ && tried.len() < PEERS_TRIED_MAX {
+            while !is_late && calls.len() < limits.peers_at_once && tried.len() < PEERS_TRIED_MAX {
                 let Some(address) = self.next_candidate(&mut tried) else {
                     break;
                 };
@@ -625,6 +637,68 @@
         result
     }
 
+    /// Reads a page of a partition through the own connection, unless it is lost.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Store::page`].
+    pub async fn own_page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        if self.is_lost() {
+            return Err(relay::unreachable_error());
+        }
+        let sent_at = self.clock.now();
+        let progress = transfer::Progress::of_call(&self.own_progress);
+        let call = self.direct.page(table, part, from, rows_max, &progress);
+        let result = self.through_own(OwnLimits::of_read(""), &progress, call);
+        let result = result.await;
+        self.record_call("direct", &result, sent_at);
+        if let Ok(page) = &result {
+            self.record_store_clock(&page.rows);
+        }
+        result
+    }
+
+    /// Reads a page of a partition through peers.
+    async fn relayed_page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        let call = |address| {
+            let (table, part, from) = (table.to_owned(), part.to_owned(), from.to_owned());
+            async move {
+                let sent_at = self.clock.now();
+                let call = self.links.page(address, &table, &part, &from, rows_max);
+                let result = call.await;
+                self.record_call("relay", &result, sent_at);
+                result
+            }
+            .boxed()
+        };
+        let result = self.first_answer(PeerLimits::of_page(), call).await;
+        self.record_relayed_read(result.as_ref().map(|page| &page.rows));
+        result
+    }
+
+    fn record_relayed_read(&self, result: Result<&store::Rows, &PlatformError>) {
+        match result {
+            Ok(rows) => {
+                self.record_reached();
+                self.record_store_clock(rows);
+            }
+            Err(PlatformError::Rejected { .. }) => self.record_reached(),
+            Err(_) => {}
+        }
+    }
+
     /// Commits through the own connection, unless it is lost.
     ///
     /// # Errors
@@ -698,14 +772,7 @@
             .boxed()
         };
         let result = self.first_answer(PeerLimits::of_read(to), call).await;
-        match &result {
-            Ok(rows) => {
-                self.record_reached();
-                self.record_store_clock(rows);
-            }
-            Err(PlatformError::Rejected { .. }) => self.record_reached(),
-            Err(_) => {}
-        }
+        self.record_relayed_read(result.as_ref());
         result
     }
 
@@ -718,6 +785,7 @@
     ) -> Result<store::Commit, PlatformError> {
         let started_at = self.clock.now();
         let limits = PeerLimits {
+            peers_at_once: 1,
             timeout: PEER_COMMIT_TIMEOUT,
             abandon_delay: COMMIT_ABANDON_DELAY,
         };
@@ -769,6 +837,7 @@
             }
             let wait = wait.saturating_sub(elapsed);
             let limits = PeerLimits {
+                peers_at_once: 1,
                 timeout: wait + PEER_READ_TIMEOUT,
                 abandon_delay: Duration::ZERO,
             };
@@ -840,6 +909,7 @@
     /// that calls which wait for one of them learn that it is cut off.
     async fn ask_peers(&self) -> bool {
         let limits = PeerLimits {
+            peers_at_once: PEERS_PER_READ,
             timeout: PEER_CHECK_TIMEOUT,
             abandon_delay: PEER_CHECK_TIMEOUT,
         };
@@ -931,6 +1001,22 @@
         }
     }
 
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+        _progress: &transfer::Progress,
+    ) -> Result<store::Page, PlatformError> {
+        match self.own_page(table, part, from, rows_max).await {
+            Err(PlatformError::NotApplied { .. } | PlatformError::Unknown { .. }) => {
+                self.relayed_page(table, part, from, rows_max).await
+            }
+            result => result,
+        }
+    }
+
     async fn commit(
         &self,
         transaction: &store::Transaction,
--- a/lib/host/tests/test_host_registry.rs
+++ b/lib/host/tests/test_host_registry.rs
@@ -32,6 +32,7 @@
         peer_address: address(port),
         peer_seeds: seeds.to_vec(),
         processor_cores: 1.0,
+        link_mbps: None,
         shutdown_grace_ms: 6_000,
         store_address: address(3),
         advice_address: None,
--- a/lib/platform/src/store.rs
+++ b/lib/platform/src/store.rs
@@ -32,6 +32,11 @@
             key: key.to_owned(),
         }
     }
+
+    /// The smallest key after this one, from which a read of the partition continues.
+    pub fn next_key(&self) -> String {
+        format!("{}\0", self.key)
+    }
 }
 
 /// A row, or its removal in a change feed.
@@ -57,6 +62,25 @@
     pub store_ms: u64,
 }
 
+/// The first rows of a range.
+#[derive(Clone, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Page {
+    /// The rows, with the version and the time of this page.
+    pub rows: Rows,
+    /// Whether the range has more rows after these. A row that is not on the page is missing from
+    /// the range only if this is false.
+    pub has_more: bool,
+}
+
+impl Page {
+    /// Cuts a read of a whole range after `rows_max` rows.
+    pub fn first_of(mut rows: Rows, rows_max: usize) -> Self {
+        let has_more = rows.rows.len() > rows_max;
+        rows.rows.truncate(rows_max);
+        Self { rows, has_more }
+    }
+}
+
 /// A condition on one row.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Condition {
@@ -115,6 +139,20 @@
         to: &str,
     ) -> Result<Rows, table::PlatformError>;
 
+    /// Returns at most `rows_max` rows in the partition `part` of `table` whose keys are at least
+    /// `from`, and records on `progress` how the reply arrives.
+    async fn page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+        progress: &transfer::Progress,
+    ) -> Result<Page, table::PlatformError> {
+        let reading = self.rows_recorded(table, part, from, "", progress);
+        Ok(Page::first_of(reading.await?, rows_max))
+    }
+
     /// Applies `transaction` atomically.
     async fn commit(&self, transaction: &Transaction) -> Result<Commit, table::PlatformError>;
 
@@ -163,7 +201,7 @@
     store: &S,
     key: &RowKey,
 ) -> Result<(Option<Row>, Rows), table::PlatformError> {
-    let end = format!("{}\0", key.key);
+    let end = key.next_key();
     let mut rows = store.rows(&key.table, &key.part, &key.key, &end).await?;
     let row = rows.rows.pop();
     Ok((row, rows))
