jobs: a run counts as gone only by a list of ends that is whole

Cause: a backend server lists at most 500 ends at a time. Engine::reconcile_running took a run that is neither running nor among the ends of one reply for gone, and its task was placed again; nothing in HoldReply said whether the list goes on.

While more ends may follow, holds don't wait.

Why it works: ends that are listed are stored and acknowledged, after which the server lists the next; a run is missing only when nothing is left that could name it. The same holds while the store is away.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -241,6 +241,8 @@
     pub hold_interval_ms: u64,
     /// Whether hold orders are sent to the servers.
     pub sends_holds: bool,
+    /// Number of ends that a server lists at a time.
+    pub ends_listed_max: usize,
     /// Simulated time at which the completion of each job was stored.
     pub completed_at_ms: BTreeMap<id::JobId, u64>,
     /// Actual behavior of jobs; jobs without an entry run as their callers estimate.
@@ -323,6 +325,9 @@
     }
 }
 
+/// Number of ends that the servers of the users' platform list at a time.
+pub const ENDS_LISTED_MAX: usize = 500;
+
 /// Returns a step of `count` tasks that run as a gang and prefer one rack.
 pub fn gang(count: u32, accelerators: u64, work_ms: u64) -> job::StepSpec {
     job::StepSpec {
@@ -368,6 +373,7 @@
             random: ChaCha8Rng::seed_from_u64(0),
             events: Vec::new(),
             sends_holds: true,
+            ends_listed_max: ENDS_LISTED_MAX,
             loads: BTreeMap::new(),
             pace_orders: Vec::new(),
             paces: BTreeMap::new(),
@@ -702,13 +708,16 @@
                 percent: run.percent as u32,
                 load: self.loads.get(name).copied(),
             });
+            let ends = server.unacknowledged_ends.iter();
+            let ended: Vec<_> = ends.take(self.ends_listed_max).cloned().collect();
             let reply = HoldReply {
                 incarnation: fleet::Incarnation {
                     started_unix_ms: server.incarnation,
                 },
                 server_ms: now.ms,
                 running: running.collect(),
-                ended: server.unacknowledged_ends.clone(),
+                may_have_more_ends: ended.len() >= self.ends_listed_max,
+                ended,
                 has_unreadable_runs: false,
                 ends_readable_upto: u64::MAX,
             };
--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -134,6 +134,7 @@
             server_ms: 1,
             running: Vec::new(),
             ended: Vec::new(),
+            may_have_more_ends: false,
             has_unreadable_runs: false,
             ends_readable_upto: u64::MAX,
         })
--- a/lib/jobs/benches/decision_cost.rs
+++ b/lib/jobs/benches/decision_cost.rs
@@ -198,6 +198,7 @@
             })
             .collect(),
         ended: Vec::new(),
+        may_have_more_ends: false,
         has_unreadable_runs: false,
         ends_readable_upto: u64::MAX,
     }
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -427,7 +427,7 @@
         let is_first = server.clock.is_none();
         let has_unacknowledged =
             server.ends_seen > server.ends_acknowledged || server.has_unreadable_end;
-        let wait_ms = match is_first || has_unacknowledged {
+        let wait_ms = match is_first || has_unacknowledged || server.may_have_more_ends {
             true => 0,
             false => HOLD_WAIT_MS,
         };
@@ -498,6 +498,7 @@
             server.is_replaced = false;
             server.is_incarnation_confirmed = true;
             server.has_unreadable_end = reply.ends_readable_upto < u64::MAX;
+            server.may_have_more_ends = reply.may_have_more_ends;
         }
         self.reachability.end_hold(id);
         self.record_reach(id, now);
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -300,7 +300,7 @@
 
     /// Compares the runs that a server lists with those that the engine expects there: stops
     /// unexpected runs, updates the expected ones, and removes those that are gone, unless the
-    /// reply lists runs that can't be identified.
+    /// reply may not list all runs.
     pub(crate) fn reconcile_running(
         &mut self,
         server_id: &id::BackendServerId,
@@ -347,9 +347,9 @@
             server.unexpected = unexpected;
         }
         self.control_pace(server_id, &reply.running, now);
-        if reply.has_unreadable_runs {
-            // Any run that isn't listed may be one that can't be read. To start it again could run
-            // its task twice.
+        if !reply.lists_all_runs() {
+            // Any run that isn't listed may have ended, or can't be read. To start it again could
+            // run its task twice.
             return;
         }
         let reported: BTreeSet<(&id::JobId, job::TaskIndex, id::Run)> = reply
--- a/lib/jobs/src/orders.rs
+++ b/lib/jobs/src/orders.rs
@@ -251,8 +251,11 @@
     pub server_ms: u64,
     /// Runs that exist on the server.
     pub running: Vec<RunningEntry>,
-    /// Ends that are not acknowledged yet.
+    /// Ends that are not acknowledged yet, those with the lowest numbers first.
     pub ended: Vec<EndEntry>,
+    /// Whether the server may have further ends that are not acknowledged yet: it lists a limited
+    /// number at a time. A run that isn't listed may be one of them.
+    pub may_have_more_ends: bool,
     /// Whether the server lists runs, or ends of runs, that can't be identified. A run that isn't
     /// listed may be one of them.
     pub has_unreadable_runs: bool,
@@ -261,6 +264,13 @@
     pub ends_readable_upto: u64,
 }
 
+impl HoldReply {
+    /// Whether a run that is neither running nor among the ends is known not to exist.
+    pub fn lists_all_runs(&self) -> bool {
+        !self.may_have_more_ends && !self.has_unreadable_runs
+    }
+}
+
 /// The outcome of a hold.
 #[derive(Clone, Debug, PartialEq)]
 pub enum HoldOutcome {
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -53,6 +53,8 @@
     pub ends_seen_apart: BTreeSet<u64>,
     /// Whether the last reply to a hold listed an end that can't be read.
     pub has_unreadable_end: bool,
+    /// Whether the last reply to a hold may have left out ends.
+    pub may_have_more_ends: bool,
     /// Highest number of a run end whose effects are stored, so that it can be acknowledged.
     pub ends_acknowledged: u64,
     /// Whether the latest hold got a reply. If not, the server may have restarted and may number
@@ -101,6 +103,7 @@
             ends_seen: 0,
             ends_seen_apart: BTreeSet::new(),
             has_unreadable_end: false,
+            may_have_more_ends: false,
             ends_acknowledged: 0,
             is_incarnation_confirmed: false,
             unstored_ends: BTreeMap::new(),
--- a/lib/jobs/src/server_loss.rs
+++ b/lib/jobs/src/server_loss.rs
@@ -52,14 +52,14 @@
 
     /// Removes the runs that were present before a server restarted, also those that are being
     /// stopped. Others may still be started by an order that got no reply. Removes none if the reply
-    /// lists runs that can't be identified.
+    /// may not list all runs.
     pub(crate) fn remove_runs_of_ended_life(
         &mut self,
         id: &id::BackendServerId,
         reply: &HoldReply,
         now: Now,
     ) {
-        if reply.has_unreadable_runs {
+        if !reply.lists_all_runs() {
             return;
         }
         for (job, index) in self.runs_on(id) {
--- a/lib/jobs/tests/test_lost_server.rs
+++ b/lib/jobs/tests/test_lost_server.rs
@@ -3,9 +3,10 @@
 use camphorbeam_fleet_model as support;
 
 use camphorbeam_fleet_model::{step, Simulation};
-use camphorbeam_jobs::orders::{EndEntry, EndKind, HoldReply, RunName};
+use camphorbeam_jobs::orders::{EndEntry, EndKind, HoldReply, RunName, StopOutcome};
 use camphorbeam_jobs::progress::JobState;
-use camphorbeam_model::{fleet, id};
+use camphorbeam_model::{fleet, id, job};
+use rstest::rstest;
 
 /// Longest time from the loss of a server until its tasks start elsewhere: 2 s in which the
 /// scheduler still renews the lease of the silent server, the longest lease of 6 s on a clock that
@@ -82,6 +83,7 @@
         server_ms: sim.now().ms,
         running: Vec::new(),
         ended: ends.to_vec(),
+        may_have_more_ends: false,
         has_unreadable_runs: ends_readable_upto < 9,
         ends_readable_upto,
     }
@@ -115,7 +117,7 @@
         .map(|((index, live), number)| EndEntry {
             number,
             name: RunName {
-                task: camphorbeam_model::job::TaskName {
+                task: job::TaskName {
                     job: job.clone(),
                     index: *index,
                 },
@@ -142,3 +144,90 @@
         assert_eq!(order.ends_acknowledged, acknowledged);
     }
 }
+
+/// A step of small tasks, as many of which as there are fit on one server.
+fn small_step(count: u32, work_ms: u64) -> job::StepSpec {
+    job::StepSpec {
+        need: job::Resources {
+            cpu_millicores: 10,
+            memory_mb: 10,
+            accelerators: 0,
+        },
+        ..step(count, 0, work_ms)
+    }
+}
+
+/// Why more ends wait on a server than it lists at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EndsWaitFor {
+    Takeover,
+    Store,
+    StoreAndTakeover,
+}
+
+/// Guards against tasks that run again after their end, since a server lists a limited number of
+/// ends and the others count as gone.
+#[rstest]
+fn test_lost_server_is_not_concluded_from_a_list_of_ends_that_goes_on(
+    #[values(
+        EndsWaitFor::Takeover,
+        EndsWaitFor::Store,
+        EndsWaitFor::StoreAndTakeover
+    )]
+    cause: EndsWaitFor,
+    #[values((500, 620), (500, 1_000), (3, 100), (1, 10))] (listed_max, tasks): (usize, u32),
+) {
+    let mut sim = Simulation::new(1, 1, 0);
+    sim.ends_listed_max = listed_max;
+    let job = sim.submit("j1", support::NORMAL, "b", vec![small_step(tasks, 2_000)]);
+    sim.run(1_000);
+    assert_eq!(sim.running_on("s0-0"), tasks as usize);
+    sim.is_store_unavailable = cause != EndsWaitFor::Takeover;
+    sim.sends_holds = cause == EndsWaitFor::Store;
+    sim.run(2_000);
+    assert_eq!(sim.running_on("s0-0"), 0);
+    sim.is_store_unavailable = false;
+    if cause != EndsWaitFor::Store {
+        sim.take_over();
+        sim.sends_holds = true;
+    }
+    assert!(sim.run_until(20_000, |sim| sim.state(&job) == JobState::Completed));
+    assert_eq!(sim.run_records.len(), tasks as usize);
+}
+
+/// Guards against a task that runs again after its end, since its stop was awaited and its end is
+/// beyond those that its server lists at a time.
+#[test]
+fn test_lost_server_is_not_concluded_for_a_stopped_run_whose_end_is_not_listed_yet() {
+    let mut sim = Simulation::new(1, 1, 0);
+    sim.ends_listed_max = 2;
+    let many = sim.submit("j1", support::NORMAL, "b", vec![small_step(10, 2_000)]);
+    sim.run(1_000);
+    let stopped = sim.submit("j2", support::NORMAL, "b", vec![small_step(1, 1_500)]);
+    sim.run(1_000);
+    // From now on the server's replies don't arrive, and all tasks end.
+    sim.sends_holds = false;
+    sim.run(2_000);
+    let open = sim.engine.job(&stopped).unwrap();
+    let (index, run) = open
+        .runs
+        .iter()
+        .map(|(at, live)| (*at, live.run))
+        .next()
+        .unwrap();
+    let name = RunName {
+        task: job::TaskName {
+            job: stopped.clone(),
+            index,
+        },
+        run,
+    };
+    // The stop is accepted, as of a run that has ended.
+    let now = sim.now();
+    sim.engine.stop_reply(&name, &StopOutcome::Accepted, now);
+    sim.sends_holds = true;
+    assert!(sim.run_until(20_000, |sim| {
+        sim.state(&many) == JobState::Completed && sim.state(&stopped) == JobState::Completed
+    }));
+    assert_eq!(sim.run_records.len(), 11);
+}
--- a/lib/jobs/tests/test_maintenance.rs
+++ b/lib/jobs/tests/test_maintenance.rs
@@ -267,6 +267,7 @@
                 load: None,
             }],
             ended: Vec::new(),
+            may_have_more_ends: false,
             has_unreadable_runs: false,
             ends_readable_upto: u64::MAX,
         };
