gateway: a number of waiting jobs that isn't known is counted, never given as 0

Cause: a release, a takeover and the renewals before the scheduler runs wrote the lease row with an empty map of counts. Row and type had no state for "not known", and the gateway took the time of the row, which each write of the lease renews, for that of the counts. By reading: a scheduler with a silent feed published old counts with a new time, and the count in the store had no time limit.

Change: LeaseRow::waiting is None or counts with their own time by the store's clock, at which the scheduler knew all accepted jobs; each write of the lease passes the newest known counts on with that time. Rows of earlier builds count as unknown; earlier builds read the new rows.

Why it works: a count is only ever given together with the time at which it was true.

--- a/lib/host/src/entry_host.rs
+++ b/lib/host/src/entry_host.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     gateway, host_registry, leadership, machines, metrics, peers, platform_schema, relay,
-    scheduler, settings, store_path, stored_state, terms_watcher,
+    scheduler, settings, store_path, stored_state, terms_watcher, waiting_count,
 };
 
 /// The interfaces of the platform that a host uses.
@@ -153,6 +153,7 @@
                 job_settings::FairShares::On => Some(settings.zone.clone()),
                 job_settings::FairShares::Off => None,
             },
+            waiting_counter: waiting_count::WaitingCounter::new(clock.clone()),
         });
         Ok(Self {
             gateway,
@@ -283,9 +284,7 @@
             // The reader has logged the error.
             Some(Err(_)) => {
                 deps.clock.sleep(leadership::LEASE_RETRY_DELAY).await;
-                if holder.renew(&*deps.store, Default::default()).await
-                    == leadership::LeaseWriteOutcome::Lost
-                {
+                if holder.renew(&*deps.store).await == leadership::LeaseWriteOutcome::Lost {
                     return;
                 }
             }
@@ -303,7 +302,8 @@
         let (kinds, pairs) = scheduler.interference_counts();
         deps.metrics.interference_kinds.set(kinds as i64);
         deps.metrics.interference_pairs.set(pairs as i64);
-        match holder.renew(&*deps.store, waiting).await {
+        holder.set_waiting_jobs(waiting, scheduler.inbox_age());
+        match holder.renew(&*deps.store).await {
             leadership::LeaseWriteOutcome::Renewed => {
                 scheduler.record_scheduler_lease_renewal(holder.renewed_at());
                 deps.clock.sleep(holder.next_renewal_delay(true)).await;
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -11,7 +11,7 @@
 use camphorbeam_platform::table::PlatformError;
 
 use crate::call::{Call, Operation, Reply};
-use crate::{metrics, partition_reader, relay, rows, terms_watcher};
+use crate::{metrics, relay, rows, terms_watcher, waiting_count};
 
 /// Deadline of a call that doesn't set one. The call timeout of the queue isn't used.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -38,10 +38,6 @@
 /// job, so that they don't all return at once.
 const STORE_RETRY_DELAYS: u64 = 3;
 
-/// Age from which the scheduler's published number of waiting jobs is ignored, and the jobs in the
-/// store are counted instead.
-const WAITING_MAX_AGE_MS: u64 = 2_500;
-
 /// Reason given to callers when the row of their job can't be parsed.
 const UNREADABLE_JOB: &str = "the stored job can't be read";
 
@@ -60,6 +56,8 @@
     pub metrics: Arc<metrics::Metrics>,
     /// Zone of this host, to be stored with accepted jobs; `None` without fair shares.
     pub caller_zone: Option<id::ZoneName>,
+    /// Counts the waiting jobs while no scheduler does.
+    pub waiting_counter: waiting_count::WaitingCounter,
 }
 
 /// Time limit for handling one call.
@@ -85,7 +83,6 @@
 
 impl Gateway {
     /// Handles `call` within its deadline, of which a margin is reserved for sending the reply.
-    /// Counting the waiting jobs in the store is not limited by the deadline and may exceed it.
     ///
     /// A call is not recorded if it is refused for lack of terms, or because its queue, API key or
     /// job id is not valid.
@@ -346,46 +343,36 @@
             Err(error) => return store_unavailable(None, &error),
         };
         let lease_row = read.0.and_then(|row| parse_row::<rows::LeaseRow>(&row));
-        match lease_row {
-            // The number is missing, and counts as zero, until the holder's scheduler has started
-            // and after a release.
-            Some(row) if read.1 < row.store_ms.saturating_add(WAITING_MAX_AGE_MS) => {
-                let waiting = row.waiting.get(&authorized.queue.name);
-                Reply::Waiting(waiting.copied().unwrap_or(0))
+        let max_age_ms = clock::as_ms(waiting_count::WAITING_MAX_AGE);
+        match lease_row.and_then(|row| row.waiting) {
+            Some(waiting) if read.1 < waiting.store_ms.saturating_add(max_age_ms) => {
+                let of_queue = waiting.by_queue.get(&authorized.queue.name);
+                Reply::Waiting(of_queue.copied().unwrap_or(0))
             }
             // No scheduler has published a recent number.
-            _ => self.count_waiting_in_store(&authorized.queue.name).await,
+            Some(_) | None => self.count_waiting_in_store(authorized, budget).await,
         }
     }
 
-    /// Approximates the number of waiting jobs: counts accepted jobs without stored progress, also
-    /// those with a schedule, which the scheduler leaves out.
-    async fn count_waiting_in_store(&self, queue: &id::QueueName) -> Reply {
-        let budget = self.store.page_budget();
-        let read = |table: &'static str, part: &'static str| {
-            partition_reader::read_partition(&*self.store, budget, table, part)
+    async fn count_waiting_in_store(
+        &self,
+        authorized: &AuthorizedCall<'_>,
+        budget: &TimeBudget,
+    ) -> Reply {
+        let remaining = budget.limit.saturating_sub(self.elapsed(budget));
+        let (store, queue) = (&*self.store, &authorized.queue.name);
+        let counting = self
+            .waiting_counter
+            .count(store, store.page_budget(), queue);
+        let counted = match self.clock.timeout(remaining, counting).await {
+            Ok(counted) => counted,
+            Err(elapsed) => Err(PlatformError::NotApplied {
+                reason: format!("the waiting jobs can't be counted: {elapsed}"),
+            }),
         };
-        let inbox = rows::INBOX_PARTS.map(|part| read(rows::INBOX_TABLE, part));
-        let jobs = futures::future::try_join_all(inbox).await;
-        let jobs_with_progress = read(rows::PROGRESS_TABLE, rows::SCHEDULER_PART).await;
-        match (jobs, jobs_with_progress) {
-            (Ok(jobs), Ok(jobs_with_progress)) => {
-                let jobs_with_progress: std::collections::BTreeSet<String> = jobs_with_progress
-                    .rows
-                    .into_iter()
-                    .map(|row| row.key.key)
-                    .collect();
-                let is_waiting = |row: &&store::Row| {
-                    let Some(id) = row.key.key.strip_prefix(rows::JOB_PREFIX) else {
-                        return false;
-                    };
-                    let job = parse_row::<job::AcceptedJob>(row);
-                    !jobs_with_progress.contains(id) && job.is_some_and(|job| &job.queue == queue)
-                };
-                let jobs = jobs.iter().flat_map(|part| &part.rows);
-                Reply::Waiting(jobs.filter(is_waiting).count() as u64)
-            }
-            (Err(error), _) | (_, Err(error)) => store_unavailable(None, &error),
+        match counted {
+            Ok(waiting) => Reply::Waiting(waiting),
+            Err(error) => store_unavailable(None, &error),
         }
     }
 
--- a/lib/host/src/leadership.rs
+++ b/lib/host/src/leadership.rs
@@ -170,6 +170,8 @@
     renewed_at: clock::Monotonic,
     /// Estimated time by the store's clock at `renewed_at`.
     store_ms: u64,
+    /// The newest known count of waiting jobs, which each write publishes.
+    waiting: Option<rows::WaitingJobs>,
 }
 
 /// Result of a check of the lease by a standby.
@@ -300,9 +302,12 @@
             },
         };
         match is_free {
-            true if from.is_empty() => self.take(store, &control, find(&rows::epoch_key())).await,
+            true if from.is_empty() => {
+                let epoch_row = find(&rows::epoch_key());
+                self.take(store, &control, row, epoch_row).await
+            }
             true => match store::read_row(store, &rows::epoch_key()).await {
-                Ok((epoch_row, _)) => self.take(store, &control, epoch_row.as_ref()).await,
+                Ok((epoch_row, _)) => self.take(store, &control, row, epoch_row.as_ref()).await,
                 Err(error) => Err((self, error)),
             },
             false => Ok(LeaseCheck::Standby(self)),
@@ -359,23 +364,26 @@
     }
 
     /// Writes the lease row and the next epoch, unless either row has changed. If the epoch row is
-    /// missing or can't be parsed, the epoch begins at 1 again.
+    /// missing or can't be parsed, the epoch begins at 1 again. The new row keeps the count of
+    /// waiting jobs of `lease`, the row so far.
     async fn take<S: Store + ?Sized>(
         self,
         store: &S,
         control: &store::Rows,
+        lease: Option<rows::LeaseRow>,
         epoch_row: Option<&store::Row>,
     ) -> Result<LeaseCheck, (Self, PlatformError)> {
         let previous: Option<rows::EpochRow> = parse_row(epoch_row);
         let epoch = previous
             .map_or(id::Epoch(0), |previous| previous.epoch)
             .next();
+        let waiting = lease.and_then(|lease| lease.waiting);
         let row = new_lease_row(
             &self.candidate,
             self.takeover,
             epoch,
             control.store_ms,
-            BTreeMap::new(),
+            waiting.clone(),
         );
         let epoch_value = rows::EpochRow {
             epoch,
@@ -424,6 +432,7 @@
                     lease_version: version,
                     renewed_at: sent_at,
                     store_ms: control.store_ms,
+                    waiting,
                 }))
             }
             Ok(store::Commit::Conflict { .. }) => Ok(LeaseCheck::Standby(self)),
@@ -439,7 +448,7 @@
     takeover: Takeover,
     epoch: id::Epoch,
     store_ms: u64,
-    waiting: BTreeMap<id::QueueName, u64>,
+    waiting: Option<rows::WaitingJobs>,
 ) -> rows::LeaseRow {
     rows::LeaseRow {
         holder: Some(candidate.host.clone()),
@@ -496,21 +505,30 @@
         }
     }
 
-    /// Renews the lease and publishes the number of waiting jobs of each queue. An unconfirmed
-    /// renewal can be repeated; once the lease is lost, the holder must not be used any more.
-    pub async fn renew<S: Store + ?Sized>(
-        &mut self,
-        store: &S,
-        waiting: BTreeMap<id::QueueName, u64>,
-    ) -> LeaseWriteOutcome {
+    /// Time now by the store's clock, estimated from the last confirmed renewal.
+    fn store_ms(&self) -> u64 {
         let elapsed = self.clock.now().since(self.renewed_at);
-        let store_ms = self.store_ms + clock::as_ms(elapsed);
+        self.store_ms + clock::as_ms(elapsed)
+    }
+
+    /// Sets the number of waiting jobs of each queue, which the scheduler knew `age` ago, for the
+    /// next renewals. Until then, those of the former holder are published with their own time.
+    pub fn set_waiting_jobs(&mut self, by_queue: BTreeMap<id::QueueName, u64>, age: Duration) {
+        self.waiting = Some(rows::WaitingJobs {
+            by_queue,
+            store_ms: self.store_ms().saturating_sub(clock::as_ms(age)),
+        });
+    }
+
+    /// Renews the lease. An unconfirmed renewal can be repeated; once the lease is lost, the holder
+    /// must not be used any more.
+    pub async fn renew<S: Store + ?Sized>(&mut self, store: &S) -> LeaseWriteOutcome {
         let row = new_lease_row(
             &self.candidate,
             self.takeover,
             self.epoch,
-            store_ms,
-            waiting,
+            self.store_ms(),
+            self.waiting.clone(),
         );
         self.write_lease(store, &row).await
     }
@@ -534,7 +552,7 @@
             if let Either::Left((output, _)) = future::select(work.as_mut(), sleeping).await {
                 return Some(output);
             }
-            let renewing = pin!(self.renew(store, BTreeMap::new()));
+            let renewing = pin!(self.renew(store));
             // A renewal that has been sent is awaited, so that its outcome is known.
             let (output, outcome) = match future::select(work.as_mut(), renewing).await {
                 Either::Left((output, renewing)) => (Some(output), renewing.await),
@@ -554,7 +572,8 @@
     pub async fn release<S: Store + ?Sized>(&mut self, store: &S) -> LeaseWriteOutcome {
         let (candidate, takeover) = (&self.candidate, self.takeover);
         let (epoch, store_ms) = (self.epoch, self.store_ms);
-        let mut row = new_lease_row(candidate, takeover, epoch, store_ms, BTreeMap::new());
+        let waiting = self.waiting.clone();
+        let mut row = new_lease_row(candidate, takeover, epoch, store_ms, waiting);
         row.holder = None;
         self.write_lease(store, &row).await
     }
--- a/lib/host/src/lib.rs
+++ b/lib/host/src/lib.rs
@@ -30,4 +30,5 @@
 pub mod stored_state;
 pub mod terms_parts;
 pub mod terms_watcher;
+pub mod waiting_count;
 pub mod wakeup;
--- a/lib/host/src/rows.rs
+++ b/lib/host/src/rows.rs
@@ -5,6 +5,7 @@
 //! have no condition. The rows that any host writes are spread over other partitions, since a
 //! partition applies one transaction at a time, and a slow store only a few per second.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -143,8 +144,19 @@
     }
 }
 
+/// Number of waiting jobs per queue: open jobs without a schedule of which no task has started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WaitingJobs {
+    /// Queues without an entry have none.
+    pub by_queue: BTreeMap<id::QueueName, u64>,
+    /// Time by the store's clock, as the holder estimates it, at which the scheduler knew all
+    /// accepted jobs.
+    pub store_ms: u64,
+}
+
 /// Value of the lease row.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+#[serde(from = "LeaseRowText", into = "LeaseRowText")]
 pub struct LeaseRow {
     /// Host that holds the lease; `None` if the last holder has released it.
     pub holder: Option<id::HostId>,
@@ -157,16 +169,67 @@
     /// Time of the write by the store's clock, as the holder estimates it. A release keeps the time
     /// of the last confirmed renewal.
     pub store_ms: u64,
-    /// Number of waiting jobs per queue: open jobs without a schedule of which no task has started.
-    /// Empty in a release, and in every write before the holder's scheduler has started.
-    pub waiting: std::collections::BTreeMap<id::QueueName, u64>,
+    /// The newest count of a scheduler, of this or an earlier holder; `None` if none is known.
+    pub waiting: Option<WaitingJobs>,
     /// How long a standby has to consider the lease valid after it first observed this write, in
     /// milliseconds; `None` in rows of builds that always had
     /// [`LEASE_DURATION`](crate::leadership::LEASE_DURATION).
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lease_ms: Option<u64>,
 }
 
+/// The lease row as it is stored. Earlier builds require `waiting`, and write an empty map there
+/// also if the numbers aren't known.
+#[derive(serde::Serialize, serde::Deserialize)]
+struct LeaseRowText {
+    holder: Option<id::HostId>,
+    process: Arc<str>,
+    epoch: id::Epoch,
+    token: Arc<str>,
+    store_ms: u64,
+    waiting: BTreeMap<id::QueueName, u64>,
+    /// Absent if `waiting` says nothing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    waiting_store_ms: Option<u64>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    lease_ms: Option<u64>,
+}
+
+impl From<LeaseRowText> for LeaseRow {
+    fn from(text: LeaseRowText) -> Self {
+        let by_queue = text.waiting;
+        Self {
+            holder: text.holder,
+            process: text.process,
+            epoch: text.epoch,
+            token: text.token,
+            store_ms: text.store_ms,
+            waiting: text
+                .waiting_store_ms
+                .map(|store_ms| WaitingJobs { by_queue, store_ms }),
+            lease_ms: text.lease_ms,
+        }
+    }
+}
+
+impl From<LeaseRow> for LeaseRowText {
+    fn from(row: LeaseRow) -> Self {
+        let waiting_store_ms = row.waiting.as_ref().map(|waiting| waiting.store_ms);
+        Self {
+            holder: row.holder,
+            process: row.process,
+            epoch: row.epoch,
+            token: row.token,
+            store_ms: row.store_ms,
+            waiting: row
+                .waiting
+                .map(|waiting| waiting.by_queue)
+                .unwrap_or_default(),
+            waiting_store_ms,
+            lease_ms: row.lease_ms,
+        }
+    }
+}
+
 /// Value of the epoch row.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct EpochRow {
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -110,6 +110,8 @@
     registry_entries: Mutex<RegistryEntries>,
     is_stopped: AtomicBool,
     scheduler_lease_renewed_at_ms: AtomicU64,
+    /// When the scheduler last knew all accepted jobs.
+    inbox_known_at_ms: AtomicU64,
     pub(crate) decide_wakeup: wakeup::Wakeup,
     pub(crate) commit_wakeup: wakeup::Wakeup,
     pub(crate) waves: machines::RequestedWaves,
@@ -158,6 +160,7 @@
             registry_entries: Mutex::default(),
             is_stopped: AtomicBool::new(false),
             scheduler_lease_renewed_at_ms: AtomicU64::new(holder.renewed_at().since_origin_ms),
+            inbox_known_at_ms: AtomicU64::new(deps.clock.now().since_origin_ms),
             decide_wakeup: wakeup::Wakeup::default(),
             commit_wakeup: wakeup::Wakeup::default(),
             waves: machines::RequestedWaves::default(),
@@ -281,6 +284,19 @@
         self.lock().waiting_jobs()
     }
 
+    /// Time since the scheduler knew all accepted jobs: grows while it can't follow the inbox.
+    pub fn inbox_age(&self) -> Duration {
+        let known_at = clock::Monotonic {
+            since_origin_ms: self.inbox_known_at_ms.load(Ordering::Relaxed),
+        };
+        self.deps.clock.now().since(known_at)
+    }
+
+    fn record_inbox_known(&self, at: clock::Monotonic) {
+        self.inbox_known_at_ms
+            .fetch_max(at.since_origin_ms, Ordering::Relaxed);
+    }
+
     /// Number of kinds of tasks that the detection of interference knows, and of pairs of them that
     /// count.
     pub fn interference_counts(&self) -> (usize, usize) {
@@ -386,6 +402,7 @@
                     version = changes.version;
                     // The feed has missed nothing, so the inbox needn't be read.
                     unread = None;
+                    self.record_inbox_known(self.deps.clock.now());
                     match changes.rows.is_empty() {
                         true => pacing.record_unproductive().await,
                         false => {
@@ -399,10 +416,12 @@
                 Ok(store::Changes::HistoryGone) | Err(_) => {
                     // Continues from the pages that an earlier attempt has read.
                     let mut reader = unread.take().unwrap_or_default();
+                    let began_at = self.deps.clock.now();
                     match self.read_inbox(&mut reader).await {
                         Ok(()) => {
                             let inbox = reader.into_rows();
                             self.apply_inbox(&inbox, &[]);
+                            self.record_inbox_known(began_at);
                             version = inbox.version.max(version);
                             pacing.record_unproductive().await;
                         }
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -6,7 +6,9 @@
 use async_std::task::block_on;
 use camphorbeam_clock as clock;
 use camphorbeam_host::call::{Call, Operation, Reply};
-use camphorbeam_host::{gateway, metrics, peers, platform_schema, relay, rows, terms_watcher};
+use camphorbeam_host::{
+    gateway, metrics, peers, platform_schema, relay, rows, terms_watcher, waiting_count,
+};
 use camphorbeam_jobs::progress::{JobState, Progress};
 use camphorbeam_model::{fleet, id, job, terms};
 use camphorbeam_platform::memory_store::{Fault, MemoryStore};
@@ -100,6 +102,7 @@
             gateway: gateway::Gateway {
                 current_terms: Arc::new(terms_watcher::CurrentTerms::default()),
                 store: Arc::new(relayed_store),
+                waiting_counter: waiting_count::WaitingCounter::new(clock.clone()),
                 clock,
                 metrics,
                 caller_zone: None,
--- a/lib/host/tests/test_leadership.rs
+++ b/lib/host/tests/test_leadership.rs
@@ -1,7 +1,6 @@
 //! The scheduler lease has one holder at a time, despite lost replies, suspended holders, delayed
 //! writes and other candidates.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use async_std::task::block_on;
@@ -31,7 +30,7 @@
         epoch: id::Epoch(0),
         token: "t".into(),
         store_ms: 0,
-        waiting: BTreeMap::new(),
+        waiting: None,
         lease_ms: None,
     };
     store.put(
@@ -77,7 +76,7 @@
 }
 
 fn renew(holder: &mut LeaseHolder, store: &MemoryStore) -> LeaseWriteOutcome {
-    block_on(holder.renew(store, BTreeMap::new()))
+    block_on(holder.renew(store))
 }
 
 #[test]
--- a/lib/host/tests/test_ranked_takeover.rs
+++ b/lib/host/tests/test_ranked_takeover.rs
@@ -1,7 +1,6 @@
 //! With ranked standbys, no two hosts believe that they hold the lease, whatever the builds and
 //! switches, suspensions, lost replies, late writes and speed of the store.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -149,7 +148,7 @@
     }
 
     fn renew(&self, holder: &mut LeaseHolder) -> LeaseWriteOutcome {
-        block_on(holder.renew(&self.store, BTreeMap::new()))
+        block_on(holder.renew(&self.store))
     }
 
     fn renew_unconfirmed(&self, holder: &mut LeaseHolder, fault: Fault) {
@@ -355,7 +354,7 @@
         *belief.lock().unwrap() = Some((holder.epoch(), expires_at));
         let delay = holder.next_renewal_delay(outcome == LeaseWriteOutcome::Renewed);
         store.clock.sleep(delay).await;
-        outcome = holder.renew(&store, BTreeMap::new()).await;
+        outcome = holder.renew(&store).await;
     }
 }
 
