jobs: each start passes one last check, and searches count the claims of a step's other tasks

Cause: a preemption plans each task by itself, and its search counted the runs of the step, not the claims of its other tasks, so that several claims named one server. A claim then became a start without the checks of an ordinary start.

Change: same_step_tasks counts claims too, in every search. start_obstacle (lib/jobs/src/start_check.rs) is checked by start_unit, whatever has proposed the servers: open job, waiting tasks, finished dependencies, attempts, service, label, tasks of the step on a server, and room without what is only being freed. What it prevents is logged (start blocked). A claim that fails by anything but room is dropped; an urgent unit on room that victims still occupy claims it.

Why it works: no start is created elsewhere, and the check looks at runs that may exist, not at a plan.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -169,6 +169,7 @@
             Event::Opened { job, .. }
             | Event::Preemption { job, .. }
             | Event::Reservation { job, .. }
+            | Event::StartBlocked { job, .. }
             | Event::StartWithheld { job, .. }
             | Event::Placed { job, .. } => job == &task.job,
             Event::Ended {
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -51,6 +51,15 @@
             servers = *servers, remaining_ms = *remaining_ms, allowed = *allowed,
             waited_ms = *waited_ms, epoch = epoch.0
         }),
+        Event::StartBlocked {
+            job,
+            first,
+            tasks,
+            obstacle,
+        } => spdlog::info!("start blocked", kv: {
+            job = job.as_str(), task = format_task_index(*first).as_str(), tasks = *tasks,
+            obstacle = *obstacle, epoch = epoch.0
+        }),
         Event::StartWithheld {
             job,
             first,
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -344,6 +344,7 @@
             Event::Preemption { .. } => ("preempts", ""),
             Event::Reservation { servers: 0, .. } => ("reservation", "impossible"),
             Event::Reservation { .. } => ("reservation", "made"),
+            Event::StartBlocked { obstacle, .. } => ("blocked", *obstacle),
             Event::StartWithheld { cause, .. } => ("withheld", *cause),
             Event::Stopping { reason, .. } => ("stopping", *reason),
             Event::RunLost {
--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -16,6 +16,7 @@
 use crate::placement::{self, CapacitySnapshot};
 use crate::preemption::{self, Claim, PreemptibleUnit, PreemptibleUnits};
 use crate::soundness;
+use crate::start_check::StartObstacle;
 
 /// Time for which the claim of a preemption is valid beyond the longest time that a stop takes.
 const CLAIM_MARGIN_MS: u64 = 700;
@@ -263,27 +264,38 @@
             }
             let fits = claim.fits(snapshot) && self.is_startable(&id, unit, now);
             let is_urgent = self.jobs[&id].accepted.terms.priority == 0;
-            match fits && self.has_tickets(&id, unit, &claim.servers) {
-                true => {
-                    self.claims.remove(&(id.clone(), unit));
-                    self.start_unit(&id, unit, &positions, snapshot, now);
+            let may_start = fits && self.has_tickets(&id, unit, &claim.servers);
+            let started = match may_start {
+                true => self.start_unit(&id, unit, &positions, snapshot, now),
+                false => Err(StartObstacle::Room),
+            };
+            match started {
+                Ok(()) => {
+                    self.claims.remove(&(id, unit));
+                }
+                Err(obstacle) if obstacle != StartObstacle::Room => {
+                    // These servers can't be used, so others have to be found.
+                    self.claims.remove(&(id, unit));
                 }
-                false if is_urgent => {
+                Err(_) if is_urgent => {
                     for &position in &positions {
                         snapshot.allocate(position, &claim.need);
                     }
                 }
-                false => waiting_gangs.push((id, unit, positions, claim.need)),
+                Err(_) => waiting_gangs.push((id, unit, positions, claim.need)),
             }
         }
         // After the claims of urgent work, whose servers are not for gangs.
         for (id, unit, positions, need) in waiting_gangs {
             match self.assignment_beside_reservation(&id, unit, snapshot, now) {
-                Some(assignment) => {
-                    self.claims.remove(&(id.clone(), unit));
-                    self.start_unit(&id, unit, &assignment, snapshot, now);
+                Some(assignment)
+                    if self
+                        .start_unit(&id, unit, &assignment, snapshot, now)
+                        .is_ok() =>
+                {
+                    self.claims.remove(&(id, unit));
                 }
-                None => {
+                Some(_) | None => {
                     for &position in &positions {
                         snapshot.allocate(position, &need);
                     }
@@ -292,6 +304,50 @@
         }
     }
 
+    /// Starts a unit on the servers of `assignment`, or claims these for an urgent unit if what is
+    /// free there has only been promised by runs that are being stopped. Returns whether the unit
+    /// was started.
+    pub(crate) fn start_or_claim(
+        &mut self,
+        id: &id::JobId,
+        unit: PlacementUnit,
+        assignment: &[usize],
+        snapshot: &mut CapacitySnapshot,
+        now: Now,
+    ) -> bool {
+        let is_urgent = self.jobs[id].accepted.terms.priority == 0;
+        match self.start_unit(id, unit, assignment, snapshot, now) {
+            Ok(()) => true,
+            Err(StartObstacle::Room) if is_urgent => {
+                self.claim_after_stops(id, unit, assignment, snapshot, now);
+                false
+            }
+            Err(_) => false,
+        }
+    }
+
+    /// Claims the servers of `assignment` for a unit until the runs that are being stopped there
+    /// have ended, and allocates them in `snapshot`.
+    fn claim_after_stops(
+        &mut self,
+        id: &id::JobId,
+        unit: PlacementUnit,
+        assignment: &[usize],
+        snapshot: &mut CapacitySnapshot,
+        now: Now,
+    ) {
+        let need = self.jobs[id].step(unit.first).counted_need();
+        for &position in assignment {
+            snapshot.allocate(position, &need);
+        }
+        let claim = Claim {
+            servers: snapshot.server_ids(assignment),
+            need,
+            until_ms: now.ms + self.settings.stop_ms + CLAIM_MARGIN_MS,
+        };
+        self.claims.insert((id.clone(), unit), claim);
+    }
+
     /// Servers on which a gang with a reservation fits now, since others than the reserved ones have
     /// become free sooner. None of them is reserved for another gang.
     fn assignment_beside_reservation(
@@ -406,11 +462,6 @@
             lost_core_s: plan.lost_core_s,
             waited_ms,
         });
-        let servers: Vec<_> = plan
-            .assignment
-            .iter()
-            .map(|&position| snapshot.candidates()[position].entry.id.clone())
-            .collect();
         for &victim_index in &plan.victims {
             let victim = preemptible.mark_stopped(victim_index);
             for (position, allocated) in &victim.allocations {
@@ -420,16 +471,7 @@
                 self.request_stop(&victim.job, index, "preempted", now);
             }
         }
-        for &position in &plan.assignment {
-            snapshot.allocate(position, &need);
-        }
-        let until_ms = now.ms + self.settings.stop_ms + CLAIM_MARGIN_MS;
-        let claim = Claim {
-            servers,
-            need,
-            until_ms,
-        };
-        self.claims.insert((id.clone(), unit), claim);
+        self.claim_after_stops(id, unit, &plan.assignment, snapshot, now);
     }
 }
 
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -17,6 +17,7 @@
 use crate::progress::{JobState, TaskState};
 use crate::server::Server;
 use crate::soundness;
+use crate::start_check::StartObstacle;
 
 /// Interval between scans of all runs. The timeouts that a scan checks are much longer.
 const SCAN_INTERVAL_MS: u64 = 50;
@@ -406,7 +407,7 @@
             round.snapshot.choose_each(&demand, units.len())
         };
         for (&unit, &position) in units.iter().zip(&assignment) {
-            self.start_unit(id, unit, &[position], &mut round.snapshot, now);
+            self.start_or_claim(id, unit, &[position], &mut round.snapshot, now);
         }
         &units[assignment.len()..]
     }
@@ -427,8 +428,7 @@
             round.snapshot.choose(&demand)
         };
         if let Some(assignment) = assignment {
-            self.start_unit(id, unit, &assignment, &mut round.snapshot, now);
-            return true;
+            return self.start_or_claim(id, unit, &assignment, &mut round.snapshot, now);
         }
         let job = &self.jobs[id];
         let is_urgent = job.accepted.terms.priority == 0;
@@ -450,8 +450,7 @@
             }
         };
         if let Some(assignment) = slower_assignment {
-            self.start_unit(id, unit, &assignment, &mut round.snapshot, now);
-            return true;
+            return self.start_or_claim(id, unit, &assignment, &mut round.snapshot, now);
         }
         self.report_wait_for_proven(id, unit, now);
         let service = &self.jobs[id].accepted.terms.service;
@@ -591,16 +590,6 @@
             .restarts
             .with_failed_servers(id, unit, excluded, now.ms);
         let excluded = self.with_unsafe_servers(id, unit, excluded, now);
-        let mut same_step_tasks = BTreeMap::new();
-        if step.tasks_per_server_max > 0 {
-            for (index, live) in &job.runs {
-                let is_same_step =
-                    index.step == unit.first.step && index.occurrence == unit.first.occurrence;
-                if is_same_step {
-                    *same_step_tasks.entry(live.server.clone()).or_default() += 1;
-                }
-            }
-        }
         // Starting within the guaranteed time, `reclaim_ms`, takes precedence over the speed of a
         // gang once half of that time has passed.
         let waited_ms = now.ms.saturating_sub(job.accepted_ms);
@@ -620,7 +609,7 @@
             },
             excluded,
             soundness: self.soundness_need(id, unit, now),
-            same_step_tasks,
+            same_step_tasks: self.same_step_tasks(id, unit),
             may_span_racks: may_span_racks || self.may_span_racks_by_advice(id, unit.first),
             is_urgent,
             // Work that is bound to a rack or a label may have no other server.
@@ -632,6 +621,11 @@
 
     /// Places a unit on the servers of `assignment`: creates its runs, whose start orders are sent
     /// once the placement is stored, and allocates its resources in `snapshot`.
+    ///
+    /// # Errors
+    ///
+    /// Changes nothing and says why if a limit of the step or the state of a server forbids the
+    /// start. The unit then waits for the next decision.
     pub(crate) fn start_unit(
         &mut self,
         id: &id::JobId,
@@ -639,15 +633,19 @@
         assignment: &[usize],
         snapshot: &mut CapacitySnapshot,
         now: Now,
-    ) {
+    ) -> Result<(), StartObstacle> {
+        let servers = snapshot.server_ids(assignment);
+        if let Some(obstacle) = self.start_obstacle(id, unit, &servers) {
+            self.report_blocked_start(id, unit, obstacle);
+            return Err(obstacle);
+        }
         let is_isolated = self.isolation(id, unit) != Isolation::None;
-        let lives: Vec<_> = assignment
+        let lives: Vec<_> = servers
             .iter()
-            .map(|&position| &snapshot.candidates()[position].entry.id)
             .filter_map(|server| Some((server.clone(), self.life_of(server)?)))
             .collect();
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return Err(StartObstacle::NotWaiting);
         };
         let need = job.step(unit.first).counted_need();
         let latest_run = unit
@@ -693,6 +691,7 @@
             }
         }
         self.track_placed(id, unit, now);
+        Ok(())
     }
 }
 
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -69,6 +69,17 @@
         /// Age of the job.
         waited_ms: u64,
     },
+    /// A unit was not started on the servers that were proposed for it.
+    StartBlocked {
+        /// The job.
+        job: id::JobId,
+        /// The first task of the unit.
+        first: job::TaskIndex,
+        /// Number of tasks in the unit.
+        tasks: u32,
+        /// The limit or the state of a server that forbids the start.
+        obstacle: &'static str,
+    },
     /// A unit waits although it would fit on what is free, see [`crate::hindrance`].
     StartWithheld {
         /// The job.
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod settings;
 pub mod soundness;
 pub mod speeds;
+mod start_check;
 mod timeouts;
 pub mod trial;
 mod withheld;
--- a/lib/jobs/src/overdue.rs
+++ b/lib/jobs/src/overdue.rs
@@ -88,8 +88,9 @@
             let is_started = match assignment {
                 Some(assignment) => {
                     self.claims.remove(&(id.clone(), unit));
-                    self.start_unit(id, unit, &assignment, &mut round.snapshot, now);
-                    true
+                    let snapshot = &mut round.snapshot;
+                    self.start_unit(id, unit, &assignment, snapshot, now)
+                        .is_ok()
                 }
                 None => may_use_any && self.start_on_closed(id, unit, round, now),
             };
@@ -186,8 +187,8 @@
             }
         }
         self.claims.remove(&(id.clone(), unit));
-        self.start_unit(id, unit, &assignment, &mut snapshot, now);
-        true
+        self.start_unit(id, unit, &assignment, &mut snapshot, now)
+            .is_ok()
     }
 
     /// The servers of reservations of other jobs than `job` that have room for the whole gang.
--- a/lib/jobs/src/placement.rs
+++ b/lib/jobs/src/placement.rs
@@ -305,6 +305,13 @@
         &self.candidates
     }
 
+    /// The ids of the servers of `assignment`.
+    pub fn server_ids(&self, assignment: &[usize]) -> Vec<id::BackendServerId> {
+        let ids = assignment.iter();
+        ids.map(|&position| self.candidates[position].entry.id.clone())
+            .collect()
+    }
+
     /// The free resources of each server, by position.
     pub fn free(&self) -> Vec<job::Resources> {
         self.candidates
--- a/lib/model/src/job.rs
+++ b/lib/model/src/job.rs
@@ -49,6 +49,15 @@
         }
     }
 
+    /// Multiplies by `count`; each resource saturates at its maximum.
+    pub fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millicores: self.cpu_millicores.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Adds `other`; each resource saturates at its maximum.
     pub fn plus(&self, other: &Self) -> Self {
         Self {
