jobs: room that preemptions promise is claimed by urgent units and not seen by others

Cause: a decision added what its victims will release to what is free.

Change: PlacementRound::promised has what is released beyond the claims. Plans of further preemptions and urgent units that don't fit otherwise count it and claim it; all other searches see only what is free. start_or_claim is gone again.

--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -7,7 +7,7 @@
 
 use camphorbeam_model::{id, job};
 
-use crate::decide::{self, DEGRADED_SPEED_RATIO, UNATTAINABLE_SPEED_RATIO};
+use crate::decide::{self, PlacementRound, DEGRADED_SPEED_RATIO, UNATTAINABLE_SPEED_RATIO};
 use crate::disruption_budget;
 use crate::engine::{Engine, Now};
 use crate::event::Event;
@@ -304,44 +304,49 @@
         }
     }
 
-    /// Starts a unit on the servers of `assignment`, or claims these for an urgent unit if what is
-    /// free there has only been promised by runs that are being stopped. Returns whether the unit
-    /// was started.
-    pub(crate) fn start_or_claim(
+    /// Claims servers for an urgent unit that fits on what this decision's preemptions for other
+    /// units leave over. Returns whether it does.
+    pub(crate) fn claim_promised_room(
         &mut self,
         id: &id::JobId,
         unit: PlacementUnit,
-        assignment: &[usize],
-        snapshot: &mut CapacitySnapshot,
+        round: &mut PlacementRound,
         now: Now,
     ) -> bool {
-        let is_urgent = self.jobs[id].accepted.terms.priority == 0;
-        match self.start_unit(id, unit, assignment, snapshot, now) {
-            Ok(()) => true,
-            Err(StartObstacle::Room) if is_urgent => {
-                self.claim_after_stops(id, unit, assignment, snapshot, now);
-                false
+        if round.promised.is_empty() {
+            return false;
+        }
+        let assignment = {
+            let mut snapshot = round.snapshot_with_promised();
+            let mut demand = self.demand(id, unit, &round.guaranteed_accounts, now);
+            snapshot.relax_kept(&mut demand);
+            snapshot.choose(&demand)
+        };
+        match assignment {
+            Some(assignment) => {
+                self.claim_after_stops(id, unit, &assignment, round, now);
+                true
             }
-            Err(_) => false,
+            None => false,
         }
     }
 
     /// Claims the servers of `assignment` for a unit until the runs that are being stopped there
-    /// have ended, and allocates them in `snapshot`.
+    /// have ended.
     fn claim_after_stops(
         &mut self,
         id: &id::JobId,
         unit: PlacementUnit,
         assignment: &[usize],
-        snapshot: &mut CapacitySnapshot,
+        round: &mut PlacementRound,
         now: Now,
     ) {
         let need = self.jobs[id].step(unit.first).counted_need();
         for &position in assignment {
-            snapshot.allocate(position, &need);
+            round.allocate_claim(position, &need);
         }
         let claim = Claim {
-            servers: snapshot.server_ids(assignment),
+            servers: round.snapshot.server_ids(assignment),
             need,
             until_ms: now.ms + self.settings.stop_ms + CLAIM_MARGIN_MS,
         };
@@ -425,11 +430,11 @@
         &mut self,
         id: &id::JobId,
         unit: PlacementUnit,
-        snapshot: &mut CapacitySnapshot,
+        round: &mut PlacementRound,
         preemptible: &mut PreemptibleUnits,
-        guaranteed_accounts: &BTreeSet<id::ClientAccountName>,
         now: Now,
     ) {
+        let guaranteed_accounts = &round.guaranteed_accounts;
         let job = &self.jobs[id];
         let step = job.step(unit.first);
         let need = step.counted_need();
@@ -439,7 +444,13 @@
             && 2 * waited_ms > self.settings.reclaim_ms;
         let plan = {
             let demand = self.demand(id, unit, guaranteed_accounts, now);
-            preemption::plan(snapshot, &demand, preemptible)
+            match round.promised.is_empty() {
+                true => preemption::plan(&round.snapshot, &demand, preemptible),
+                false => {
+                    let snapshot = round.snapshot_with_promised();
+                    preemption::plan(&snapshot, &demand, preemptible)
+                }
+            }
         };
         // Without a guarantee, no work is stopped for a job that will miss its objective anyway.
         let will_miss_objective =
@@ -465,13 +476,14 @@
         for &victim_index in &plan.victims {
             let victim = preemptible.mark_stopped(victim_index);
             for (position, allocated) in &victim.allocations {
-                snapshot.release(*position, allocated);
+                let promised = round.promised.entry(*position).or_default();
+                *promised = promised.plus(allocated);
             }
             for index in victim.unit.members() {
                 self.request_stop(&victim.job, index, "preempted", now);
             }
         }
-        self.claim_after_stops(id, unit, &plan.assignment, snapshot, now);
+        self.claim_after_stops(id, unit, &plan.assignment, round, now);
     }
 }
 
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -240,6 +240,7 @@
             guaranteed_accounts: self.guaranteed_accounts(),
             preemptible: None,
             plans_left: PREEMPTION_PLANS_MAX,
+            promised: BTreeMap::new(),
             snapshot,
         };
         // Overdue units may use servers that are reserved for other gangs, so they come before
@@ -407,7 +408,8 @@
             round.snapshot.choose_each(&demand, units.len())
         };
         for (&unit, &position) in units.iter().zip(&assignment) {
-            self.start_or_claim(id, unit, &[position], &mut round.snapshot, now);
+            // One that the last check prevents waits for the next decision.
+            let _ = self.start_unit(id, unit, &[position], &mut round.snapshot, now);
         }
         &units[assignment.len()..]
     }
@@ -428,12 +430,15 @@
             round.snapshot.choose(&demand)
         };
         if let Some(assignment) = assignment {
-            return self.start_or_claim(id, unit, &assignment, &mut round.snapshot, now);
+            let snapshot = &mut round.snapshot;
+            return self
+                .start_unit(id, unit, &assignment, snapshot, now)
+                .is_ok();
         }
         let job = &self.jobs[id];
         let is_urgent = job.accepted.terms.priority == 0;
         let will_miss_objective = required_speed_ratio(job, unit, now) > UNATTAINABLE_SPEED_RATIO;
-        if is_urgent {
+        if is_urgent && !self.claim_promised_room(id, unit, round, now) {
             self.preempt_if_due(id, unit, round, now);
         }
         // An urgent job that can still meet its objective waits for a server that is fast enough.
@@ -450,7 +455,10 @@
             }
         };
         if let Some(assignment) = slower_assignment {
-            return self.start_or_claim(id, unit, &assignment, &mut round.snapshot, now);
+            let snapshot = &mut round.snapshot;
+            return self
+                .start_unit(id, unit, &assignment, snapshot, now)
+                .is_ok();
         }
         self.report_wait_for_proven(id, unit, now);
         let service = &self.jobs[id].accepted.terms.service;
@@ -484,15 +492,7 @@
             Some(preemptible) => preemptible,
             None => self.preemptible_units(&round.snapshot, now),
         };
-        let (snapshot, guaranteed_accounts) = (&mut round.snapshot, &round.guaranteed_accounts);
-        self.preempt(
-            id,
-            unit,
-            snapshot,
-            &mut preemptible,
-            guaranteed_accounts,
-            now,
-        );
+        self.preempt(id, unit, round, &mut preemptible, now);
         round.preemptible = Some(preemptible);
     }
 
@@ -716,6 +716,9 @@
 /// The state of one scheduling decision.
 pub(crate) struct PlacementRound {
     pub snapshot: CapacitySnapshot,
+    /// What the runs that this decision preempts will release beyond the claims on it, by position.
+    /// Not part of `snapshot`: nothing can start there before they have ended.
+    pub promised: BTreeMap<usize, job::Resources>,
     pub guaranteed_accounts: BTreeSet<id::ClientAccountName>,
     /// Units that may be preempted; collected when the first preemption is planned.
     preemptible: Option<PreemptibleUnits>,
@@ -723,6 +726,25 @@
     plans_left: u32,
 }
 
+impl PlacementRound {
+    /// The snapshot as it will be once the preempted runs have ended.
+    pub(crate) fn snapshot_with_promised(&self) -> CapacitySnapshot {
+        let mut snapshot = self.snapshot.clone();
+        for (position, need) in &self.promised {
+            snapshot.release(*position, need);
+        }
+        snapshot
+    }
+
+    /// Allocates `need` for a claim on the server at `position`, of what is promised there first.
+    pub(crate) fn allocate_claim(&mut self, position: usize, need: &job::Resources) {
+        let promised = self.promised.entry(position).or_default();
+        let rest = need.minus(promised);
+        *promised = promised.minus(need);
+        self.snapshot.allocate(position, &rest);
+    }
+}
+
 /// The order in which jobs are placed. Jobs whose completion is worth nothing any more come last.
 /// Within both groups, lower priority numbers go first (priority 0 is urgent work), then jobs that
 /// can still meet their objective before those that can't, then the oldest job. The last entry is
