progress: a transaction has at most what the host's link passes in time

A transaction with the progress of many jobs has up to 600 kB (800 kB in base64), and a commit's time limit of 1.7 s counts the whole of it: on a link of 2 Mbit/s it never arrives, and is repeated as it is, so that no progress is stored any more.

Change: the progress of as many jobs as pass the link in 0.2 s go into one transaction, at least one.

--- a/lib/host/src/partition_reader.rs
+++ b/lib/host/src/partition_reader.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Most bytes that one message may have so that others wait at most [`LINK_TIME_MAX`] behind it.
+    pub fn message_max_bytes(&self) -> u64 {
+        self.bytes_max
+    }
+
     fn lock(&self) -> MutexGuard<'_, BudgetState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/lib/host/src/progress_writer.rs
+++ b/lib/host/src/progress_writer.rs
@@ -54,6 +54,7 @@
         };
         let mut included: Vec<engine::ProgressWrite> = Vec::new();
         let mut size_bytes = 0;
+        let max_bytes = self.commit_max_bytes();
         for change in changes {
             let text = match serde_json::to_string(&change.progress) {
                 Ok(text) => text,
@@ -66,7 +67,7 @@
                 }
             };
             size_bytes += text.len();
-            if size_bytes > COMMIT_MAX_BYTES && !included.is_empty() {
+            if size_bytes > max_bytes && !included.is_empty() {
                 break;
             }
             transaction.conditions.push(store::Condition {
@@ -89,6 +90,13 @@
         self.send_orders();
     }
 
+    /// Maximum bytes of progress in one transaction: it has to pass the host's link well within the
+    /// time limit of a commit, which counts the whole of it, and is encoded in base64.
+    fn commit_max_bytes(&self) -> usize {
+        let link_bytes = self.deps.store.page_budget().message_max_bytes() / 4 * 3;
+        usize::try_from(link_bytes).map_or(COMMIT_MAX_BYTES, |bytes| bytes.min(COMMIT_MAX_BYTES))
+    }
+
     /// The write of the learned state, if it is due. Has no condition on the version of its row, so
     /// that a change of the row by anyone else can't prevent the progress from being stored.
     fn learned_state_write(&self) -> Option<(store::RowKey, String)> {
