--- a/lib/host/src/relay.rs
+++ b/lib/host/src/relay.rs
@@ -291,6 +291,32 @@
         }
     }
 
+    /// Reads a page through one other host after the other, since each reply would take its time on
+    /// this host's link.
+    async fn relayed_page(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        rows_max: usize,
+    ) -> Result<store::Page, PlatformError> {
+        let mut last_error = unreachable_error();
+        for address in self.relay_addresses() {
+            let sent_at = self.clock.now();
+            let reading = peers::PeerLink::page(&*self.peers, address, table, part, from, rows_max);
+            let result = reading.await;
+            self.record_call_metrics("relay", &result, sent_at);
+            self.record_relayed(address, &result);
+            match result {
+                Err(error) if !matches!(error, PlatformError::Rejected { .. }) => {
+                    last_error = error;
+                }
+                result => return result,
+            }
+        }
+        Err(last_error)
+    }
+
     fn relay_addresses(&self) -> Vec<SocketAddr> {
         let mut addresses = self.peers.preferred_order();
         addresses.truncate(PEERS_TRIED_MAX);
@@ -355,27 +381,30 @@
         rows_max: usize,
         progress: &transfer::Progress,
     ) -> Result<store::Page, PlatformError> {
-        match &self.path {
-            Some(path) => path.page(table, part, from, rows_max, progress).await,
-            None if self.is_direct_usable() => {
-                let sent_at = self.clock.now();
-                let reading = self.direct.page(table, part, from, rows_max, progress);
-                let result = reading.await;
-                self.record_call_metrics("direct", &result, sent_at);
-                self.record_direct(&result);
-                match result {
-                    Err(PlatformError::NotApplied { .. } | PlatformError::Unknown { .. }) => {
-                        let relayed = self.relayed_rows(table, part, from, "").await;
-                        Ok(store::Page::first_of(relayed?, rows_max))
-                    }
-                    result => result,
+        if let Some(path) = &self.path {
+            return path.page(table, part, from, rows_max, progress).await;
+        }
+        if self.is_direct_usable() {
+            let sent_at = self.clock.now();
+            let reading = self.direct.page(table, part, from, rows_max, progress);
+            let result = reading.await;
+            self.record_call_metrics("direct", &result, sent_at);
+            self.record_direct(&result);
+            match result {
+                Ok(page) => {
+                    self.record_store_clock(&page.rows);
+                    return Ok(page);
                 }
-            }
-            None => {
-                let relayed = self.relayed_rows(table, part, from, "").await;
-                Ok(store::Page::first_of(relayed?, rows_max))
+                Err(error @ PlatformError::Rejected { .. }) => return Err(error),
+                // The failure is already logged and counted; another host may reach the store.
+                Err(_) => {}
             }
         }
+        let relayed = self.relayed_page(table, part, from, rows_max).await;
+        if let Ok(page) = &relayed {
+            self.record_store_clock(&page.rows);
+        }
+        relayed
     }
 
     async fn commit(
