review: a client account's name stops the configuration (case 7)

The script adds an account whose name has spaces, takes a key away, and adds a route by the next version.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 6 to 10 into target/review-2. They need the standard library only.
+# Builds the stand-ins of the cases 7 to 10 into target/review-2. They need the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
--- a/review/rig-2/backend.rs
+++ b/review/rig-2/backend.rs
@@ -110,14 +110,6 @@
     changed: Condvar,
 }
 
-impl BackendServer {
-    /// Number of runs on the server.
-    pub fn run_count(&self) -> usize {
-        let state = lock(&self.state);
-        state.life.as_ref().map_or(0, |life| life.running.len())
-    }
-}
-
 /// A start of a run.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -140,8 +132,6 @@
     store: Arc<Store>,
     record: Arc<Record>,
     history: Mutex<BTreeMap<String, TaskHistory>>,
-    /// Tasks whose starts and ends are too many for the record.
-    unrecorded: Mutex<Vec<String>>,
 }
 
 /// A backend server to be started.
@@ -181,7 +171,6 @@
             store: Arc::clone(store),
             record: Arc::clone(record),
             history: Mutex::default(),
-            unrecorded: Mutex::default(),
         });
         for server in &fleet.servers {
             fleet.bring_up(server);
@@ -194,11 +183,6 @@
         fleet
     }
 
-    /// Leaves the starts and ends of the tasks of a job out of the record.
-    pub fn leave_out(&self, job: &str) {
-        lock(&self.unrecorded).push(job.to_owned());
-    }
-
     /// The tasks of a job that were ever started, with their history.
     pub fn tasks_of(&self, job: &str) -> BTreeMap<String, TaskHistory> {
         let history = lock(&self.history);
@@ -223,24 +207,6 @@
         self.servers.iter().map(count).sum()
     }
 
-    /// Number of ends that the servers list now and that were not taken note of.
-    pub fn listed_ends(&self) -> usize {
-        let count = |server: &Arc<BackendServer>| {
-            let state = lock(&server.state);
-            state.life.as_ref().map_or(0, |life| life.ended.len())
-        };
-        self.servers.iter().map(count).sum()
-    }
-
-    fn note(&self, task: &str, line: &str) {
-        let is_left_out = lock(&self.unrecorded)
-            .iter()
-            .any(|job| task.starts_with(job));
-        if !is_left_out {
-            self.record.line(line);
-        }
-    }
-
     fn note_start(&self, server: &BackendServer, task: &str, number: u64) {
         let mut history = lock(&self.history);
         let of_task = history.entry(task.to_owned()).or_default();
@@ -249,7 +215,8 @@
             labels: lock(&server.state).labels.clone(),
         });
         drop(history);
-        self.note(task, &format!("{}: started {task} run {number}", server.id));
+        self.record
+            .line(&format!("{}: started {task} run {number}", server.id));
     }
 
     fn note_end(&self, server: &BackendServer, task: &str, number: u64, how: &'static str) {
@@ -257,10 +224,8 @@
         let of_task = history.entry(task.to_owned()).or_default();
         of_task.ends.push((number, how));
         drop(history);
-        self.note(
-            task,
-            &format!("{}: ended {task} run {number}: {how}", server.id),
-        );
+        self.record
+            .line(&format!("{}: ended {task} run {number}: {how}", server.id));
     }
 
     /// Starts the process of a server and registers it.
--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use crate::backend::{Health, Plan};
-use crate::deployment::{Answer, Deployment, Queue};
+use crate::deployment::{Account, Deployment, Queue, ACCOUNT};
 use crate::json::{self, Value};
 use crate::record::Record;
 
@@ -31,8 +31,7 @@
 impl Case {
     pub fn named(name: &str) -> Option<Self> {
         let run = match name {
-            "large-job" => large_job,
-            "flapping-server" => flapping_server,
+            "account-name" => account_name,
             "waiting-number" => waiting_number,
             "other-kind" => other_kind,
             "lowered-attempts" => lowered_attempts,
@@ -105,85 +104,77 @@
     is_over()
 }
 
-/// A store refuses a row of over `row_bytes`. A job whose progress has grown beyond that when
-/// servers crash under it must not keep the other jobs from being run.
-fn large_job(root: &Path, record: Record, has_trouble: bool) -> Result<Verdict, String> {
-    const LARGE: &str = "5c0e7a21d94b0001";
-    const TASKS: u64 = 470;
-    let queues = [queue("batch", 2, 4), queue("urgent", 0, 4)];
-    let deployment = Deployment::start(root, record, SERVICE, &queues, servers(48, &[]))?;
+/// A configuration with a client account whose name has spaces has to come into force like any other.
+fn account_name(root: &Path, record: Record, has_trouble: bool) -> Result<Verdict, String> {
+    /// `config_apply_ms`, and a second.
+    const APPLIED_S: f64 = 3.0;
+    const KEPT: Account = Account {
+        name: ACCOUNT.name,
+        keys: &["key-1"],
+    };
+    const ADDED: Account = Account {
+        name: "Sharkawy & Sons",
+        keys: &["key-3"],
+    };
+    let queues = [queue("batch", 2, 4)];
+    let deployment = Deployment::start(root, record, SERVICE, &queues, servers(10, &[]))?;
     let (fleet, record) = (&deployment.fleet, &deployment.record);
-    fleet.leave_out(LARGE);
-    let steps = vec![step(TASKS, 1_000, 11_000, "")];
-    if !deployment.submit("batch", LARGE, &job("work_ms=11000", steps)) {
-        return Err("the large job was not accepted".to_owned());
-    }
-    if !wait_for(8.0, || fleet.running_of(LARGE) == TASKS as usize) {
-        let running = fleet.running_of(LARGE);
-        return Err(format!(
-            "only {running} of {TASKS} tasks of the large job run"
-        ));
-    }
-    record.line(&format!("all {TASKS} tasks of the large job run"));
-    wait(1.0);
-    if has_trouble {
-        // One rack of the six crashes: the one with the most tasks of the job.
-        let racks = fleet.servers.chunks(RACK);
-        let rack =
-            racks.max_by_key(|rack| rack.iter().map(|server| server.run_count()).sum::<usize>());
-        let rack = rack.unwrap_or_default();
-        for server in rack {
-            fleet.crash(server);
-        }
-        wait(3.0);
-        for server in rack {
-            fleet.bring_up(server);
-        }
-        record.line("the crashed servers are up again");
-    } else {
-        wait(3.0);
-    }
-    wait(1.0);
-    let small: Vec<String> = (1..=6)
-        .map(|number| format!("5c0e7a21d94b100{number}"))
-        .collect();
-    let mut accepted = Vec::new();
-    for id in &small {
-        let body = job("work_ms=2500", vec![step(3, 1_000, 2_500, "")]);
-        if deployment.submit("urgent", id, &body) {
-            accepted.push(id.clone());
-        }
-        wait(0.3);
-    }
-    record.line(&format!(
-        "end of the traffic; {} small jobs accepted",
-        accepted.len()
-    ));
-    thread::sleep(FINISH);
-    let idle = idle_jobs(&deployment, "urgent", &accepted);
-    let (largest, refused) = deployment.store.value_sizes();
-    let sizes = format!(
-        "largest row {largest} bytes; {} writes with a row over {} bytes refused, the largest of {} bytes",
-        refused.len(),
-        crate::platform::ROW_BYTES,
-        refused.iter().max().copied().unwrap_or(0)
+    let hosts = 0..deployment.host_count();
+    let body = job("work_ms=1000", vec![step(1, 1_000, 1_000, "")]).to_string();
+    // Makes a call at each host and returns the statuses.
+    let statuses = |key: &str, method: &str, name: &str, body: &str| -> Vec<u16> {
+        let path = |host: usize| match method {
+            "POST" => format!("/batch/5c0e7a21d94b{name}{host}"),
+            _ => format!("/{name}/"),
+        };
+        let answers = hosts.clone();
+        let answers =
+            answers.map(|host| deployment.request_at(host, key, method, &path(host), body));
+        answers
+            .map(|answer| answer.map_or(0, |answer| answer.status))
+            .collect()
+    };
+    let before = statuses("key-2", "POST", "600", &body);
+    if before.iter().any(|status| !(200..300).contains(status)) {
+        return Err(format!("calls before the change got {before:?}"));
+    }
+    // Takes a key away, and adds an account.
+    let accounts: &[Account] = if has_trouble { &[KEPT, ADDED] } else { &[KEPT] };
+    deployment.configure(2, &queues, accounts);
+    wait(APPLIED_S);
+    let revoked = statuses("key-2", "POST", "610", &body);
+    let added = match has_trouble {
+        true => statuses("key-3", "POST", "620", &body),
+        false => Vec::new(),
+    };
+    // Adds a route.
+    deployment.configure(3, &[queues[0].clone(), queue("late", 1, 4)], accounts);
+    wait(APPLIED_S);
+    let late = statuses("key-1", "GET", "late", "");
+    wait(3.0);
+    let count = |statuses: &[u16], is_old: fn(u16) -> bool| {
+        statuses.iter().filter(|status| is_old(**status)).count()
+    };
+    let run = hosts
+        .clone()
+        .filter(|host| !fleet.tasks_of(&format!("5c0e7a21d94b610{host}")).is_empty());
+    let summary = format!(
+        "of {} hosts {} accept a key that was taken away and {} refuse one that was added, {} don't \
+         know a route that was added by the next version; {} jobs with the key that was taken away \
+         have run",
+        hosts.len(),
+        count(&revoked, |status| (200..300).contains(&status)),
+        count(&added, |status| status == 401),
+        count(&late, |status| status == 404),
+        run.count()
     );
-    record.line(&sizes);
-    record.line(&format!(
-        "ends listed by servers and not taken note of: {}",
-        fleet.listed_ends()
-    ));
-    deployment.job_state("batch", LARGE);
-    // All that runs is the large job, on 470 of the 3,072 cores at most.
-    match idle.is_empty() {
-        true if accepted.len() == small.len() => Ok(Verdict::Held(sizes)),
-        true => Err("a small job was not accepted".to_owned()),
-        false => Ok(Verdict::Broken(format!(
-            "{} of {} accepted small jobs have not ended, and nothing of them has run for {} s; {sizes}",
-            idle.len(),
-            accepted.len(),
-            IDLE.as_secs()
-        ))),
+    record.line(&summary);
+    let old = count(&revoked, |status| (200..300).contains(&status))
+        + count(&added, |status| status == 401)
+        + count(&late, |status| status == 404);
+    match old {
+        0 => Ok(Verdict::Held(summary)),
+        _ => Ok(Verdict::Broken(summary)),
     }
 }
 
@@ -203,64 +194,6 @@
     idle
 }
 
-/// A server that goes down and up by turns must not make a sound job end as failed.
-fn flapping_server(root: &Path, record: Record, has_trouble: bool) -> Result<Verdict, String> {
-    const JOB: &str = "5c0e7a21d94b2001";
-    let queues = [queue("proof", 1, 2)];
-    let deployment = Deployment::start(root, record, SERVICE, &queues, servers(10, &[4]))?;
-    let (fleet, record) = (&deployment.fleet, &deployment.record);
-    let body = job("work_ms=11000", vec![step(1, 26_000, 11_000, "b")]);
-    if !deployment.submit("proof", JOB, &body) {
-        return Err("the job was not accepted".to_owned());
-    }
-    if !wait_for(5.0, || fleet.running_of(JOB) == 1) {
-        return Err("the job doesn't run".to_owned());
-    }
-    wait(2.0);
-    let is_over = || {
-        let answer = deployment.job_state("proof", JOB);
-        answer.is_some_and(|answer| matches!(answer.state(), "completed" | "failed" | "cancelled"))
-    };
-    if has_trouble {
-        // For 5.6 s with a period of 1.4 s, then 9 s of calm; five times at most.
-        let flapping = Arc::clone(&fleet.servers[4]);
-        for _ in 0..5 {
-            for _ in 0..4 {
-                fleet.crash(&flapping);
-                wait(0.7);
-                fleet.bring_up(&flapping);
-                wait(0.7);
-            }
-            wait(9.0);
-            if is_over() {
-                break;
-            }
-        }
-    }
-    let end = std::time::Instant::now() + Duration::from_secs(28);
-    while std::time::Instant::now() < end && !is_over() {
-        wait(1.0);
-    }
-    let answer = deployment.job_state("proof", JOB);
-    let state = answer.as_ref().map_or("", Answer::state).to_owned();
-    let history = fleet.tasks_of(JOB).into_values().next().unwrap_or_default();
-    let failed = history
-        .ends
-        .iter()
-        .filter(|(_, how)| *how == "failed")
-        .count();
-    let summary = format!(
-        "the job is shown as {state:?}; {} starts, {failed} ends as failed",
-        history.starts.len()
-    );
-    record.line(&summary);
-    match state.as_str() {
-        "failed" | "cancelled" if failed < 2 => Ok(Verdict::Broken(summary)),
-        "completed" => Ok(Verdict::Held(summary)),
-        _ => Err(summary),
-    }
-}
-
 /// The number of waiting jobs has to count those whose starts the servers have refused, also after
 /// the host that schedules was killed.
 fn waiting_number(root: &Path, record: Record, has_trouble: bool) -> Result<Verdict, String> {
@@ -361,9 +294,13 @@
     }
     if has_trouble {
         // The route is removed, and added again with fewer attempts.
-        deployment.configure(2, &[queue("urgent", 0, 4)]);
+        deployment.configure(2, &[queue("urgent", 0, 4)], &[ACCOUNT]);
         wait(1.0);
-        deployment.configure(3, &[queue("batch", 2, 1), queue("urgent", 0, 4)]);
+        deployment.configure(
+            3,
+            &[queue("batch", 2, 1), queue("urgent", 0, 4)],
+            &[ACCOUNT],
+        );
     }
     wait(12.0);
     record.line("end of the traffic");
--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -36,6 +36,19 @@
 /// Time after which a case that hasn't ended is given up: what a script may take is 120 s.
 const TIME_LIMIT: Duration = Duration::from_secs(117);
 
+/// A client account of the configuration.
+#[derive(Clone, Copy)]
+pub struct Account {
+    pub name: &'static str,
+    pub keys: &'static [&'static str],
+}
+
+/// The client account of the callers, unless a case says otherwise.
+pub const ACCOUNT: Account = Account {
+    name: "tenant-1",
+    keys: &["key-1", "key-2"],
+};
+
 struct Host {
     name: String,
     ip: Ipv4Addr,
@@ -102,7 +115,7 @@
 }
 
 /// The configuration of the operator.
-fn configuration(version: u64, queues: &[Queue], service: &str) -> Value {
+fn configuration(version: u64, queues: &[Queue], accounts: &[Account], service: &str) -> Value {
     let routes = queues.iter().map(|queue| {
         json::map([
             ("name", queue.name.into()),
@@ -133,18 +146,21 @@
         ("header_timeout_ms", 3_000_u64.into()),
         ("idle_timeout_ms", 15_000_u64.into()),
     ]);
-    let tenant = json::map([
-        ("name", "tenant-1".into()),
-        ("api_keys", vec![Value::from("key-1")].into()),
-        ("priority", 1_u64.into()),
-        ("guaranteed", json::map([("gpu", 24_u64.into())])),
-    ]);
+    let tenants = accounts.iter().map(|account| {
+        let keys = account.keys.iter().map(|key| Value::from(*key));
+        json::map([
+            ("name", account.name.into()),
+            ("api_keys", keys.collect::<Vec<Value>>().into()),
+            ("priority", 1_u64.into()),
+            ("guaranteed", json::map([("gpu", 24_u64.into())])),
+        ])
+    });
     json::map([
         ("version", version.into()),
         ("routes", routes.collect::<Vec<Value>>().into()),
         ("services", vec![service].into()),
         ("limits", limits),
-        ("tenants", vec![tenant].into()),
+        ("tenants", tenants.collect::<Vec<Value>>().into()),
     ])
 }
 
@@ -209,7 +225,11 @@
         let store_server = store
             .serve(SocketAddr::new(store_ip, 0))
             .map_err(|error| error.to_string())?;
-        store.put("op", "config", Some(&configuration(1, queues, service)));
+        store.put(
+            "op",
+            "config",
+            Some(&configuration(1, queues, &[ACCOUNT], service)),
+        );
         let fleet = Fleet::start(service, IpAddr::V4(ip(201)), plans, &store, &record);
         let directory =
             std::env::temp_dir().join(format!("camphorbeam-review-{}", std::process::id()));
@@ -401,8 +421,8 @@
     }
 
     /// Writes a new version of the configuration.
-    pub fn configure(&self, version: u64, queues: &[Queue]) {
-        let value = configuration(version, queues, &self.fleet.service);
+    pub fn configure(&self, version: u64, queues: &[Queue], accounts: &[Account]) {
+        let value = configuration(version, queues, accounts, &self.fleet.service);
         self.store.put("op", "config", Some(&value));
         self.record.line(&format!(
             "operator: configuration version {version} acknowledged"
@@ -412,36 +432,59 @@
     /// Makes a caller's request at the hosts in turn, beginning with number `first`, until one
     /// answers.
     pub fn request(&self, first: usize, method: &str, path: &str, body: &str) -> Option<Answer> {
-        let deadline = DEADLINE.as_millis().to_string();
+        let numbers = (0..self.hosts.len()).map(|number| (first + number) % self.hosts.len());
+        let mut answers = numbers.map(|host| self.request_at(host, "key-1", method, path, body));
+        answers.find(Option::is_some).flatten()
+    }
+
+    /// Number of entry hosts.
+    pub fn host_count(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Makes a caller's request with an API key at one host.
+    pub fn request_at(
+        &self,
+        host: usize,
+        key: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Option<Answer> {
+        let (deadline, bearer) = (DEADLINE.as_millis().to_string(), format!("Bearer {key}"));
         let headers = [
             ("host", "jobs.example"),
             ("content-type", "application/json"),
-            ("authorization", "Bearer key-1"),
+            ("authorization", bearer.as_str()),
             ("x-camphorbeam-deadline-ms", deadline.as_str()),
         ];
-        for number in 0..self.hosts.len() {
-            let host = &self.hosts[(first + number) % self.hosts.len()];
-            let address = SocketAddr::new(IpAddr::V4(host.ip), FRONT_PORT);
-            let answer = http::call(address, method, path, &headers, body, DEADLINE);
-            match answer {
-                Ok((status, text)) => {
-                    let shown: String = text.chars().take(200).collect();
-                    self.record.line(&format!(
-                        "{}: {method} {path} -> {status} {shown}",
-                        host.name
-                    ));
-                    return Some(Answer {
-                        host: host.name.clone(),
-                        status,
-                        body: json::parse(&text),
-                    });
-                }
-                Err(error) => self
-                    .record
-                    .line(&format!("{}: {method} {path}: {error}", host.name)),
+        let host = &self.hosts[host];
+        let address = SocketAddr::new(IpAddr::V4(host.ip), FRONT_PORT);
+        let with_key = if key == "key-1" {
+            String::new()
+        } else {
+            format!(" with {key}")
+        };
+        match http::call(address, method, path, &headers, body, DEADLINE) {
+            Ok((status, text)) => {
+                let shown: String = text.chars().take(200).collect();
+                let line = format!(
+                    "{}: {method} {path}{with_key} -> {status} {shown}",
+                    host.name
+                );
+                self.record.line(&line);
+                Some(Answer {
+                    host: host.name.clone(),
+                    status,
+                    body: json::parse(&text),
+                })
+            }
+            Err(error) => {
+                let line = format!("{}: {method} {path}{with_key}: {error}", host.name);
+                self.record.line(&line);
+                None
             }
         }
-        None
     }
 
     /// Hands a job in, again after no answer and a 502, 503, 504 or 429, for 20 s. Returns whether
--- a/review/rig-2/platform.rs
+++ b/review/rig-2/platform.rs
@@ -41,10 +41,6 @@
     /// Values in base64, with the version of the row.
     rows: BTreeMap<Key, (String, u64)>,
     history: Vec<Change>,
-    /// Sizes of the values that were refused because they are over `ROW_BYTES`.
-    refused_bytes: Vec<usize>,
-    /// Size of the largest value that was accepted.
-    largest_bytes: usize,
 }
 
 pub struct Store {
@@ -83,12 +79,6 @@
         json::parse(&String::from_utf8(base64::decode(value)?).ok()?)
     }
 
-    /// The largest value that was accepted and the sizes of those that were refused, in bytes.
-    pub fn value_sizes(&self) -> (usize, Vec<usize>) {
-        let state = lock(&self.state);
-        (state.largest_bytes, state.refused_bytes.clone())
-    }
-
     fn apply(&self, state: &mut State, changes: Vec<(Key, Option<String>)>) {
         state.version += 1;
         let version = state.version;
@@ -159,14 +149,12 @@
             return Response::new(400, "{}");
         }
         let mut state = lock(&self.state);
-        let mut largest = 0;
-        for row in lists[1] {
-            let bytes = base64::decode(row.text("value")).map_or(usize::MAX, |value| value.len());
-            if bytes > ROW_BYTES {
-                state.refused_bytes.push(bytes);
-                return Response::new(400, "{}");
-            }
-            largest = largest.max(bytes);
+        let is_too_large = |row: &Value| {
+            let value = base64::decode(row.text("value"));
+            value.is_none_or(|value| value.len() > ROW_BYTES)
+        };
+        if lists[1].iter().any(is_too_large) {
+            return Response::new(400, "{}");
         }
         let version_of = |state: &State, key: &Key| state.rows.get(key).map_or(0, |row| row.1);
         let holds = lists[0]
@@ -181,7 +169,6 @@
             let rows = current.collect();
             return self.reply(412, &state, rows, false);
         }
-        state.largest_bytes = state.largest_bytes.max(largest);
         let writes = lists[1].iter();
         let writes = writes.map(|row| (key_of(row), Some(row.text("value").to_owned())));
         let removals = lists[2].iter().map(|row| (key_of(row), None));
