--- a/review/rig-2/deployment.rs
+++ b/review/rig-2/deployment.rs
@@ -2,6 +2,7 @@
 //! the arguments of the deploy file, on loopback addresses.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -49,6 +50,26 @@
     keys: &["key-1", "key-2"],
 };
 
+extern "C" {
+    /// From the C library, which the standard library links.
+    fn prctl(option: i32, signal: u64) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG`, and SIGKILL.
+const END_WITH_PARENT: (i32, u64) = (1, 9);
+
+/// Makes the process of `command` end with the thread that starts it, also if that is killed.
+fn end_with_parent(command: &mut Command) -> &mut Command {
+    let (option, signal) = END_WITH_PARENT;
+    // SAFETY: the call is allowed between fork and exec, and touches no memory.
+    unsafe {
+        command.pre_exec(move || match prctl(option, signal) {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        })
+    }
+}
+
 struct Host {
     name: String,
     ip: Ipv4Addr,
@@ -350,7 +371,8 @@
         let log = std::fs::File::options().create(true).append(true).open(log);
         let log = log.map_err(|error| error.to_string())?;
         let program = root.join(&self.command[0]);
-        let child = Command::new(program)
+        let mut command = Command::new(program);
+        let child = end_with_parent(&mut command)
             .args(&self.command[1..])
             .current_dir(root)
             .env_clear()
@@ -417,6 +439,11 @@
                 "{}: started again: {started:?}",
                 deployment.hosts[host].name
             ));
+            drop(deployment);
+            // The process ends with the thread that has started it.
+            loop {
+                thread::park();
+            }
         });
     }
 
