jobs: end jobs that have no attempt left under new terms

The start check refused each start by the new limit, and only the handler of a failure compared the failures with the limit to end a job; no further failure comes. A takeover reads the same state.

StartObstacle::is_final says which obstacles no event can remove. The ready units carry the first one, computed from the state alone, and each decision ends the jobs that have one, whatever has led there: new terms, the end of a run, a takeover. The handler of a failure calls the same function. The progress says why, and callers get it as reason. Steps that no registered server could run are reported, so that what they wait for has a name.

--- a/lib/fleet-model/src/advice.rs
+++ b/lib/fleet-model/src/advice.rs
@@ -43,13 +43,13 @@
             .iter()
             .map(|queue| id::QueueName::new(queue).unwrap());
         let queues: BTreeSet<_> = queues.collect();
-        let in_force = Arc::make_mut(&mut self.terms);
-        in_force.version.0 += 1;
-        for known in &mut in_force.queues {
-            let advice = queues.contains(&known.name).then_some(terms);
-            known.job_settings.advice = advice;
-        }
-        self.engine.set_terms(Arc::clone(&self.terms));
+        self.change_terms(|in_force| {
+            for known in &mut in_force.queues {
+                let advice = queues.contains(&known.name).then_some(terms);
+                known.job_settings.advice = advice;
+            }
+        });
+        let open = self.adviser.take().and_then(|adviser| adviser.open);
         self.adviser = Some(ModelAdviser {
             is_good,
             failure: None,
@@ -58,10 +58,16 @@
             refused_starts: 0,
             queues,
             terms,
-            open: None,
+            open,
         });
     }
 
+    /// The queues that need advice.
+    pub fn advised_queues(&self) -> BTreeSet<id::QueueName> {
+        let queues = self.adviser.as_ref().map(|adviser| &adviser.queues);
+        queues.cloned().unwrap_or_default()
+    }
+
     /// Answers the open call if it is due, and takes the next one.
     pub(crate) fn advise(&mut self) {
         let now = self.now();
@@ -88,6 +94,9 @@
     /// Whether a server accepts the ticket of an order, or needs none.
     pub(crate) fn accepts_ticket(&mut self, server: &str, start: &StartOrder) -> bool {
         let queue = &self.accepted[&start.name.task.job].queue;
+        if self.terms.queue(queue).is_none() {
+            return true;
+        }
         let Some(adviser) = self
             .adviser
             .as_mut()
--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -258,6 +258,9 @@
     /// Zone of the callers of jobs that are submitted from now on.
     pub caller_zone: Option<id::ZoneName>,
     terms: Arc<terms::Terms>,
+    /// The settings that apply to each job. Those of a removed queue stay as they were until a
+    /// takeover, and then are those at the acceptance.
+    job_terms: BTreeMap<id::JobId, job::QueueJobSettings>,
     settings: Settings,
     version: u64,
 }
@@ -386,6 +389,7 @@
             decision_times: DecisionTimes::default(),
             caller_zone: None,
             terms: Arc::new(standard_terms(guaranteed)),
+            job_terms: BTreeMap::new(),
             settings,
             version: 0,
         };
@@ -441,14 +445,38 @@
         self.engine.set_servers(entries, now);
     }
 
-    /// Sets the number of attempts of tasks in all queues, for jobs that are submitted afterwards.
+    /// Sets the number of attempts of tasks in all queues.
     pub fn set_attempts_max(&mut self, attempts_max: u32) {
+        self.change_terms(|terms| {
+            for queue in &mut terms.queues {
+                queue.job_settings.attempts_max = attempts_max;
+            }
+        });
+    }
+
+    /// Puts a new version of the terms into force.
+    pub fn change_terms(&mut self, change: impl FnOnce(&mut terms::Terms)) {
         let terms = Arc::make_mut(&mut self.terms);
         terms.version.0 += 1;
-        for queue in &mut terms.queues {
-            queue.job_settings.attempts_max = attempts_max;
-        }
+        change(terms);
         self.engine.set_terms(Arc::clone(&self.terms));
+        self.update_job_terms();
+    }
+
+    /// The names of the queues that take jobs.
+    pub fn open_queues(&self) -> Vec<String> {
+        let queues = self.terms.queues.iter();
+        queues.map(|queue| queue.name.as_str().to_owned()).collect()
+    }
+
+    /// Gives all jobs the settings of their queue, unless it is removed.
+    fn update_job_terms(&mut self) {
+        for (id, accepted) in &self.accepted {
+            if let Some(queue) = self.terms.queue(&accepted.queue) {
+                self.job_terms
+                    .insert(id.clone(), queue.job_settings.clone());
+            }
+        }
     }
 
     /// Lets the tasks of a job that is submitted afterwards run on once they have reached 100
@@ -513,6 +541,7 @@
             },
         };
         self.accepted.insert(id.clone(), accepted.clone());
+        self.job_terms.insert(id.clone(), accepted.terms.clone());
         let now = self.now();
         self.engine.submit(id.clone(), accepted, None, 0, now);
         id
@@ -539,7 +568,9 @@
             let age_ms = accepted.age_ms(now.ms, now.unix_ms);
             self.engine
                 .submit(id.clone(), accepted.clone(), stored, age_ms, now);
+            self.job_terms.insert(id.clone(), accepted.terms.clone());
         }
+        self.update_job_terms();
     }
 
     /// Crashes a server, which restarts under the same id.
--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -186,8 +186,12 @@
             }
             | Event::GivenUp {
                 job, task: index, ..
+            }
+            | Event::OutOfAttempts {
+                job, task: index, ..
             } => job == &task.job && index == &task.index,
             Event::State { job, .. }
+            | Event::NoServer { job, .. }
             | Event::RestartDelayed { job, .. }
             | Event::StopRefused { job, .. }
             | Event::WaitsForProven { job, .. } => job == &task.job,
--- a/lib/fleet-model/src/start_promise.rs
+++ b/lib/fleet-model/src/start_promise.rs
@@ -295,7 +295,9 @@
         let mostly_free = mostly_free_services(sim, &used);
         let mut units = BTreeMap::new();
         for (job, accepted) in &sim.accepted {
-            let service = &accepted.terms.service;
+            // A job that was put into the simulation by hand has only the terms of its acceptance.
+            let terms = sim.job_terms.get(job).unwrap_or(&accepted.terms);
+            let service = &terms.service;
             let is_mostly_free = mostly_free.contains(service);
             let is_judged = (self.is_end_phase || self.judged == Judged::AnyCalmTime)
                 && !running_jobs.contains(job)
--- a/lib/host/src/call.rs
+++ b/lib/host/src/call.rs
@@ -45,8 +45,8 @@
     /// State of the job as read; always `Queued` for a stored submission, also a repeated one, and
     /// always `Cancelled` for a stored cancellation.
     State(progress::JobState),
-    /// The job has failed because it was given up; says why.
-    GivenUp(Arc<str>),
+    /// The job has failed; says why.
+    Failed(Arc<str>),
     /// Number of waiting jobs of the queue.
     Waiting(u64),
     /// The API key is missing or unknown.
@@ -83,7 +83,7 @@
     pub fn name(&self) -> &'static str {
         match self {
             Self::State(state) => state.name(),
-            Self::GivenUp(_) => "given_up",
+            Self::Failed(_) => progress::JobState::Failed.name(),
             Self::Waiting(_) => "waiting",
             Self::Unauthenticated => "unauthenticated",
             Self::NoSuchQueue => "no_such_queue",
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -169,6 +169,20 @@
             job = job.as_str(), task = format_task_index(*task).as_str(), crashes = *crashes,
             epoch = epoch.0
         }),
+        Event::OutOfAttempts {
+            job,
+            task,
+            failures,
+            attempts_max,
+            terms,
+        } => spdlog::info!("job out of attempts", kv: {
+            job = job.as_str(), task = format_task_index(*task).as_str(), failures = *failures,
+            attempts_max = *attempts_max, terms = terms.0, epoch = epoch.0
+        }),
+        Event::NoServer { job, first, need } => spdlog::warn!("waits for a server", kv: {
+            job = job.as_str(), task = format_task_index(*first).as_str(), need = *need,
+            epoch = epoch.0
+        }),
         Event::Evacuation {
             zone,
             state,
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -151,7 +151,7 @@
         if what == "read"
             && matches!(
                 reply,
-                Reply::State(_) | Reply::GivenUp(_) | Reply::Waiting(_)
+                Reply::State(_) | Reply::Failed(_) | Reply::Waiting(_)
             )
         {
             return;
@@ -258,7 +258,7 @@
                     ..
                 }) => match failure {
                     _ if owner != authorized.account => Reply::NoSuchJob,
-                    Some(reason) if state == progress::JobState::Failed => Reply::GivenUp(reason),
+                    Some(reason) if state == progress::JobState::Failed => Reply::Failed(reason),
                     _ => Reply::State(state),
                 },
                 // Rows of earlier versions name no account.
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -357,6 +357,8 @@
             } => ("server lost", "crash proven"),
             Event::LossResolved { .. } => ("server lost", "withdrawn"),
             Event::GivenUp { .. } => ("given up", "crashes"),
+            Event::NoServer { need, .. } => ("no server", *need),
+            Event::OutOfAttempts { .. } => ("given up", "attempts"),
             Event::AddressReused { .. } => ("server", "address reused"),
             Event::Evacuation { state, .. } => return self.record_evacuation(state),
             Event::StartPause {
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -336,7 +336,7 @@
     fixture.store.put(&key, &text);
     assert_eq!(
         fixture.call("k1", "/q/j1", Operation::Read),
-        Reply::GivenUp("given up: servers have crashed".into())
+        Reply::Failed("given up: servers have crashed".into())
     );
     assert_eq!(
         fixture.call("k2", "/q/j1", Operation::Read),
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -81,6 +81,7 @@
             self.stop_stalled(now);
             self.stop_on_slow_servers(now);
         }
+        self.end_unstartable_jobs(now);
         self.update_advice(now);
         let renews_last = self.renews_last();
         if !renews_last {
@@ -227,6 +228,7 @@
         let ready_jobs = self.ready_jobs(now);
         self.update_headroom(&ready_jobs, now);
         self.drop_claims(now);
+        self.report_unmet_needs(&ready_jobs, now);
         if ready_jobs.is_empty() || !self.has_confirmed_evacuations(now) {
             self.check_withheld(&ready_jobs, None, now);
             return;
@@ -524,12 +526,8 @@
     }
 
     pub(crate) fn is_waiting(&self, id: &id::JobId, unit: PlacementUnit) -> bool {
-        self.jobs.get(id).is_some_and(|job| {
-            unit.members().all(|index| {
-                job.progress.task_state(index) == TaskState::Waiting
-                    && !job.runs.contains_key(&index)
-            })
-        })
+        let job = self.jobs.get(id);
+        job.is_some_and(|job| unit.members().all(|index| job.is_waiting(index)))
     }
 
     /// Whether nothing but room is missing for a unit to start.
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::{
     advice, crash_evidence, crashes, disruption_budget, evacuation, fair_share, headroom, health,
     interference, maintenance, open_job, pacing, placement, reachability, restarts, server,
-    settings, soundness, speeds, withheld,
+    settings, soundness, speeds, unmet, withheld,
 };
 
 /// Delay until an order that got no usable reply is sent again, counted from when the missing reply
@@ -104,6 +104,7 @@
     pub(crate) crashes: crashes::Crashes,
     pub(crate) refused_stops: disruption_budget::RefusedStops,
     pub(crate) withheld: withheld::WithheldStarts,
+    pub(crate) unmet: unmet::UnmetNeeds,
     /// Zones that get no new runs.
     pub(crate) evacuation: evacuation::Evacuation,
     pub(crate) interference: interference::Interference,
@@ -168,6 +169,7 @@
             // Jobs of a removed queue keep the terms that they have.
             if let Some(queue) = terms.queue(&job.accepted.queue) {
                 job.accepted.terms = queue.job_settings.clone();
+                job.invalidate_ready();
             }
         }
         self.terms = terms;
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -240,6 +240,28 @@
         /// Number of crashes that count against the task.
         crashes: usize,
     },
+    /// A job has failed, since one of its tasks has used up its attempts.
+    OutOfAttempts {
+        /// The job.
+        job: id::JobId,
+        /// The task.
+        task: job::TaskIndex,
+        /// Number of failures counted against the task.
+        failures: u32,
+        /// Number of failures that the terms allow.
+        attempts_max: u32,
+        /// Version of these terms.
+        terms: id::TermsVersion,
+    },
+    /// A step waits since no registered server could run a task of it, even an empty one.
+    NoServer {
+        /// The job.
+        job: id::JobId,
+        /// The first waiting task of the step.
+        first: job::TaskIndex,
+        /// What no server has, see [`crate::unmet::UnmetNeed`].
+        need: &'static str,
+    },
     /// A request to evacuate a zone was seen or has been removed.
     Evacuation {
         /// The zone.
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -197,24 +197,18 @@
         let has_wave = may_be_server && self.soundness.has_wave(now.ms);
         self.health
             .record_failure(id, (unit.first, run), server_id, has_wave, now.ms);
-        let mut failures = 0;
         for member in unit.members() {
             let record = job.progress.task_mut(member);
             // Several members may report a failure of the same run.
             if record.run == run && record.failed_run < run {
                 record.failures += 1;
                 record.failed_run = run;
-                failures = failures.max(record.failures);
             }
         }
         job.mark_changed();
-        let is_long_running = job.step(index).is_long_running;
-        let is_out_of_attempts = !is_long_running && failures >= job.accepted.terms.attempts_max;
-        let is_final = job.progress.state.is_final();
         self.end_unfinished_run(id, index, EndKind::Failed.name(), now);
-        if is_out_of_attempts && !is_final {
-            self.end_job(id, JobState::Failed, now);
-        }
+        // The other members of a gang don't have to be gone first.
+        self.end_if_out_of_attempts(id, unit, now);
     }
 
     /// Removes a run that ended without finishing its task, and stops the other members of its
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -47,4 +47,6 @@
 mod start_check;
 mod timeouts;
 pub mod trial;
+pub mod unmet;
+mod unstartable;
 mod withheld;
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -4,6 +4,7 @@
 
 use camphorbeam_model::{id, job};
 
+use crate::start_check::{self, StartObstacle};
 use crate::{live_run, progress};
 
 /// Tasks that are placed and started together: all members of a gang, or a single task.
@@ -62,6 +63,8 @@
 struct Ready {
     units: Vec<PlacementUnit>,
     next_due_unix_ms: Option<u64>,
+    /// The first of `units` that has a final obstacle.
+    unstartable: Option<(PlacementUnit, StartObstacle)>,
 }
 
 impl OpenJob {
@@ -126,7 +129,8 @@
         self.ready = None;
     }
 
-    /// Drops the cached ready units after a change of the runs, which may make more units ready.
+    /// Drops the cached ready units after a change of the runs or the terms, which may make more
+    /// units ready, or units unstartable.
     pub fn invalidate_ready(&mut self) {
         self.ready = None;
     }
@@ -167,6 +171,20 @@
     /// Units that may start at the wall clock time `unix_ms`: their occurrence is due, the steps
     /// that they depend on have finished, and none of their tasks is done or has a run.
     pub fn ready_units(&mut self, unix_ms: u64) -> &[PlacementUnit] {
+        self.update_ready(unix_ms);
+        self.ready.as_ref().map_or(&[], |ready| &ready.units)
+    }
+
+    /// A ready unit with an obstacle that nothing can remove, see [`StartObstacle::is_final`].
+    pub(crate) fn unstartable_unit(
+        &mut self,
+        unix_ms: u64,
+    ) -> Option<(PlacementUnit, StartObstacle)> {
+        self.update_ready(unix_ms);
+        self.ready.as_ref()?.unstartable
+    }
+
+    fn update_ready(&mut self, unix_ms: u64) {
         let is_current = self.ready.as_ref().is_some_and(|ready| {
             ready
                 .next_due_unix_ms
@@ -175,27 +193,36 @@
         if !is_current {
             self.ready = Some(self.compute_ready(unix_ms));
         }
-        self.ready.as_ref().map_or(&[], |ready| &ready.units)
     }
 
     fn compute_ready(&self, unix_ms: u64) -> Ready {
-        let mut ready = Ready {
-            units: Vec::new(),
-            next_due_unix_ms: None,
+        let (units, next_due_unix_ms) = self.due_units(unix_ms);
+        let final_obstacle = |&unit: &PlacementUnit| {
+            let obstacle = start_check::unit_obstacle(self, unit)?;
+            obstacle.is_final().then_some((unit, obstacle))
         };
+        Ready {
+            unstartable: units.iter().find_map(final_obstacle),
+            units,
+            next_due_unix_ms,
+        }
+    }
+
+    /// The units that may start at `unix_ms`, and when the next occurrence adds more.
+    fn due_units(&self, unix_ms: u64) -> (Vec<PlacementUnit>, Option<u64>) {
+        let mut units = Vec::new();
         if self.progress.state.is_final() {
-            return ready;
+            return (units, None);
         }
         for occurrence in 0..self.accepted.spec.occurrence_count() {
             match self.accepted.spec.due_unix_ms(occurrence) {
                 Some(due_unix_ms) if due_unix_ms > unix_ms => {
-                    ready.next_due_unix_ms = Some(due_unix_ms);
-                    return ready;
+                    return (units, Some(due_unix_ms));
                 }
-                _ => self.add_ready_units(occurrence, &mut ready.units),
+                _ => self.add_ready_units(occurrence, &mut units),
             }
         }
-        ready
+        (units, None)
     }
 
     fn add_ready_units(&self, occurrence: u32, units: &mut Vec<PlacementUnit>) {
@@ -234,7 +261,8 @@
         }
     }
 
-    fn is_waiting(&self, index: job::TaskIndex) -> bool {
+    /// Whether a task waits for a run and has none.
+    pub(crate) fn is_waiting(&self, index: job::TaskIndex) -> bool {
         self.progress.task_state(index) == progress::TaskState::Waiting
             && !self.runs.contains_key(&index)
     }
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -105,7 +105,7 @@
     /// ended. A server that has not replied yet has no entry.
     #[serde(rename = "l", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub lives: BTreeMap<id::BackendServerId, crash_evidence::ServerLife>,
-    /// Why the job was given up; `None` if it has failed by its own attempts, or has not failed.
+    /// Why the job has failed; `None` if it hasn't, or in rows of earlier versions.
     #[serde(rename = "f", default, skip_serializing_if = "Option::is_none")]
     pub failure: Option<Arc<str>>,
 }
--- a/lib/jobs/src/start_check.rs
+++ b/lib/jobs/src/start_check.rs
@@ -45,6 +45,20 @@
             Self::Room => "room",
         }
     }
+
+    /// Whether the job has to end: no event of the fleet or of other work can remove the obstacle.
+    /// New terms could, but callers are not made to wait for them.
+    pub fn is_final(self) -> bool {
+        match self {
+            Self::Attempts => true,
+            Self::NotWaiting
+            | Self::Dependency
+            | Self::Service
+            | Self::Label
+            | Self::TasksPerServer
+            | Self::Room => false,
+        }
+    }
 }
 
 /// The step of one occurrence that a task belongs to.
@@ -95,19 +109,14 @@
         for server in servers {
             *tasks.entry(server).or_default() += 1;
         }
-        match () {
-            () if job.progress.state.is_final() || !self.is_waiting(id, unit) => {
-                Some(StartObstacle::NotWaiting)
-            }
-            () if !are_dependencies_finished(job, unit) => Some(StartObstacle::Dependency),
-            () if !has_attempts_left(job, unit) => Some(StartObstacle::Attempts),
-            () => tasks
+        unit_obstacle(job, unit).or_else(|| {
+            tasks
                 .into_iter()
                 .find_map(|(server, count)| match self.servers.get(server) {
                     Some(server) => server_obstacle(job, unit, step, server, count),
                     None => Some(StartObstacle::Service),
-                }),
-        }
+                })
+        })
     }
 
     /// Reports a start that the check has prevented.
@@ -126,16 +135,37 @@
     }
 }
 
+/// Why `unit` must not start on any server; `None` if it may on some.
+pub(crate) fn unit_obstacle(job: &OpenJob, unit: PlacementUnit) -> Option<StartObstacle> {
+    match () {
+        () if job.progress.state.is_final()
+            || !unit.members().all(|index| job.is_waiting(index)) =>
+        {
+            Some(StartObstacle::NotWaiting)
+        }
+        () if !are_dependencies_finished(job, unit) => Some(StartObstacle::Dependency),
+        () if !has_attempts_left(job, unit) => Some(StartObstacle::Attempts),
+        () => None,
+    }
+}
+
 fn are_dependencies_finished(job: &OpenJob, unit: PlacementUnit) -> bool {
     let mut dependencies = job.step(unit.first).depends_on.iter();
     dependencies.all(|&step| job.is_step_finished(unit.first.occurrence, step))
 }
 
-fn has_attempts_left(job: &OpenJob, unit: PlacementUnit) -> bool {
+/// Whether the terms allow a further run of each task of `unit`. Long-running tasks have no limit.
+pub(crate) fn has_attempts_left(job: &OpenJob, unit: PlacementUnit) -> bool {
+    let failures = |index| {
+        job.progress
+            .tasks
+            .get(&index)
+            .map_or(0, |task| task.failures)
+    };
     job.step(unit.first).is_long_running
         || unit
             .members()
-            .all(|index| job.progress.task(index).failures < job.accepted.terms.attempts_max)
+            .all(|index| failures(index) < job.accepted.terms.attempts_max)
 }
 
 /// Why `count` tasks of `unit` must not start on `server`.
