jobs: ask for advice on the servers that an overdue step may use

Found by the random changes of terms with advice switched on and off: a step that needs advice waited 6 s on a service that was mostly free. Two of its three servers were avoided after failures, the third was quarantined. An overdue start may use all three, but the calls for tickets were planned by the ordinary demand, which excludes them.

After 1 s with room, a step that has nothing else to ask asks about the servers that it may use at 2 s, by the demand of the overdue start.

--- a/lib/jobs/src/advice.rs
+++ b/lib/jobs/src/advice.rs
@@ -9,12 +9,14 @@
 use async_trait::async_trait;
 use camphorbeam_model::{fleet, id, job};
 
+use crate::crash_evidence::Isolation;
 use crate::decide::DEGRADED_SPEED_RATIO;
 use crate::engine::{Engine, Now};
 use crate::event::Event;
 use crate::live_run::RunPhase;
 use crate::open_job::PlacementUnit;
 use crate::orders::StartOrder;
+use crate::overdue;
 use crate::placement::{CapacitySnapshot, Demand};
 
 /// Number of servers that the service accepts in one call.
@@ -718,7 +720,11 @@
             let counts_busy = number < STEPS_MAX;
             let mut demand = self.demand(&name.job, first, guaranteed_accounts, now);
             snapshot.relax_kept(&mut demand);
-            let selection = self.select_servers(&name, demand, &units, snapshot, counts_busy, now);
+            let mut selection =
+                self.select_servers(&name, demand, &units, snapshot, counts_busy, now);
+            if selection.ask.is_empty() && self.is_overdue_soon(&name, now) {
+                selection = self.select_for_overdue(&name, &units, guaranteed_accounts, now);
+            }
             let step = self.advice.steps.entry(name.clone()).or_default();
             // Its answers may be enough for several racks; the next decision shows that.
             if selection.needs_more_racks && step.calls > 0 && !step.spans_racks {
@@ -798,6 +804,24 @@
         selection
     }
 
+    /// Servers to ask about for units that may soon start on any server that the platform allows, so
+    /// that their tickets are there by then.
+    fn select_for_overdue(
+        &self,
+        name: &StepName,
+        units: &[PlacementUnit],
+        guaranteed_accounts: &BTreeSet<id::ClientAccountName>,
+        now: Now,
+    ) -> Selection {
+        let first = units[0];
+        let is_suspected = self.isolation(&name.job, first) != Isolation::None;
+        let snapshot = self.snapshot_for_overdue(is_suspected, now);
+        let demand = self.demand(&name.job, first, guaranteed_accounts, now);
+        let step = overdue::step_anywhere(demand.step);
+        let demand = self.demand_anywhere(&name.job, first, demand, &step, now);
+        self.select_servers(name, demand, units, &snapshot, false, now)
+    }
+
     /// Selects servers until they are expected to have room for `wanted` tasks: free room, or all
     /// of it with `counts_busy`.
     fn select_in_pass(
--- a/lib/jobs/src/overdue.rs
+++ b/lib/jobs/src/overdue.rs
@@ -10,7 +10,7 @@
 use crate::decide::{PlacementRound, ReadyJob, DEGRADED_SPEED_RATIO};
 use crate::engine::{Engine, Now};
 use crate::open_job::PlacementUnit;
-use crate::placement::{Assignment, CapacitySnapshot};
+use crate::placement::{Assignment, CapacitySnapshot, Demand};
 use crate::soundness;
 
 /// Time with room after which a unit may use servers that are reserved for other units or kept for
@@ -140,17 +140,34 @@
         guaranteed_accounts: &BTreeSet<id::ClientAccountName>,
         now: Now,
     ) -> Option<Assignment> {
-        let step = job::StepSpec {
-            data_rack: None,
-            ..self.jobs[id].step(unit.first).clone()
-        };
-        let mut demand = self.demand(id, unit, guaranteed_accounts, now);
-        demand.step = &step;
-        demand.speed_min_ratio = 0.0;
-        demand.may_use_kept = true;
-        demand.may_span_racks = true;
-        demand.excluded = self.with_unsafe_servers(id, unit, BTreeSet::new(), now);
-        snapshot.choose(&demand)
+        let demand = self.demand(id, unit, guaranteed_accounts, now);
+        let step = step_anywhere(demand.step);
+        snapshot.choose(&self.demand_anywhere(id, unit, demand, &step, now))
+    }
+
+    /// `demand` without the preferences of the unit. `step` is its step by [`step_anywhere`].
+    pub(crate) fn demand_anywhere<'a>(
+        &self,
+        id: &id::JobId,
+        unit: PlacementUnit,
+        demand: Demand<'a>,
+        step: &'a job::StepSpec,
+        now: Now,
+    ) -> Demand<'a> {
+        Demand {
+            step,
+            speed_min_ratio: 0.0,
+            may_use_kept: true,
+            may_span_racks: true,
+            excluded: self.with_unsafe_servers(id, unit, BTreeSet::new(), now),
+            ..demand
+        }
+    }
+
+    /// Whether a step has been withheld for so long that it may use any server before long.
+    pub(crate) fn is_overdue_soon(&self, step: &StepName, now: Now) -> bool {
+        let withheld_ms = self.withheld.withheld_ms(step, now);
+        withheld_ms.is_some_and(|withheld_ms| withheld_ms >= CLAIMS_RESPECTED_MS)
     }
 
     /// Starts a unit on servers that are closed to ordinary work, beside others, if only these have room
@@ -206,3 +223,11 @@
             .collect()
     }
 }
+
+/// A step without the preference for the rack of its data.
+pub(crate) fn step_anywhere(step: &job::StepSpec) -> job::StepSpec {
+    job::StepSpec {
+        data_rack: None,
+        ..step.clone()
+    }
+}
--- a/lib/jobs/tests/test_changed_terms.rs
+++ b/lib/jobs/tests/test_changed_terms.rs
@@ -263,7 +263,7 @@
     let standard = support::standard_terms(32);
     let number = random.random_range(0..standard.queues.len());
     let settings_of_queue = &standard.queues[number];
-    let kind = random.random_range(0..7);
+    let kind = random.random_range(0..8);
     let attempts_max = random.random_range(1..=4);
     let priority = random.random_range(0..=2);
     let objective_ratio = [0.0, 1.0, 1.5, 4.0][random.random_range(0..4)];
