--- a/lib/host/src/entry_host.rs
+++ b/lib/host/src/entry_host.rs
@@ -183,6 +183,8 @@
         self.metrics
             .terms_version
             .set(self.current_terms.version().0);
+        let unreadable = self.current_terms.terms().unreadable.len();
+        self.metrics.terms_unreadable.set(unreadable as u64);
         let age = self.current_terms.confirmation_age(self.clock.now());
         let age_s = age.map_or(-1.0, |age| age.as_secs_f64());
         self.metrics.terms_age_s.set(age_s);
--- a/lib/host/src/gateway.rs
+++ b/lib/host/src/gateway.rs
@@ -38,11 +38,15 @@
 /// job, so that they don't all return at once.
 const STORE_RETRY_DELAYS: u64 = 3;
 
+/// Time after which callers may come back to a queue that can't be read. It takes an operator to
+/// put it right.
+const UNREADABLE_QUEUE_RETRY_AFTER_S: u64 = 10;
+
 /// Reason given to callers when the row of their job can't be parsed.
 const UNREADABLE_JOB: &str = "the stored job can't be read";
 
 /// Client account of calls to public queues without a known API key.
-const PUBLIC_ACCOUNT: &str = "public";
+pub const PUBLIC_ACCOUNT: &str = "public";
 
 /// Answers calls from the terms and the store.
 pub struct Gateway {
@@ -435,9 +439,17 @@
 }
 
 fn authorize<'a>(terms: &'a terms::Terms, call: &Call) -> Result<AuthorizedCall<'a>, Reply> {
-    let queue = terms
-        .route(&call.host, &call.path)
-        .ok_or(Reply::NoSuchQueue)?;
+    let queue = match terms.find_route(&call.host, &call.path) {
+        terms::Route::Queue(queue) => queue,
+        // That there is no such queue would not be true.
+        terms::Route::Unreadable => {
+            return Err(Reply::Unavailable {
+                reason: "the terms of this queue can't be read".to_owned(),
+                retry_after_s: UNREADABLE_QUEUE_RETRY_AFTER_S,
+            })
+        }
+        terms::Route::Unknown => return Err(Reply::NoSuchQueue),
+    };
     let known_account = call.key.as_ref().and_then(|key| terms.api_keys.get(key));
     let account = match known_account {
         Some(account) => account.clone(),
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -94,6 +94,8 @@
     interference_changes: EventCounterFamily,
     /// Version of the current terms.
     pub terms_version: Gauge<u64, AtomicU64>,
+    /// Number of entries of the current terms that can't be read.
+    pub terms_unreadable: Gauge<u64, AtomicU64>,
     /// Time since the store, or a host that reaches it, last confirmed the current terms, in
     /// seconds; negative before the first time.
     pub terms_age_s: Gauge<f64, AtomicU64>,
@@ -130,6 +132,7 @@
             interference_pairs: Gauge::default(),
             interference_changes: EventCounterFamily::default(),
             terms_version: Gauge::default(),
+            terms_unreadable: Gauge::default(),
             terms_age_s: Gauge::default(),
         };
         metrics.register();
@@ -272,6 +275,11 @@
             "Version of the terms in force",
             self.terms_version.clone(),
         );
+        registry.register(
+            "terms_unreadable",
+            "Entries of the terms in force that can't be read",
+            self.terms_unreadable.clone(),
+        );
         registry.register_with_unit(
             "terms_age",
             "Time since the store last confirmed the terms in force",
--- a/lib/host/src/terms_watcher.rs
+++ b/lib/host/src/terms_watcher.rs
@@ -36,6 +36,9 @@
 /// Number of other hosts that are asked for their terms in one round.
 const PEERS_PER_ROUND: usize = 2;
 
+/// Number of unreadable entries of one version that are logged.
+const UNREADABLE_LOGGED_MAX: usize = 20;
+
 /// The newest terms that this host has received.
 #[derive(Debug, Default)]
 pub struct CurrentTerms {
@@ -112,8 +115,15 @@
             return;
         }
         spdlog::info!("terms in force", kv: {
-            version = decoded.version.0, before = previous.0, queues = decoded.queues.len(), way
+            version = decoded.version.0, before = previous.0, queues = decoded.queues.len(), way,
+            unreadable = decoded.unreadable.len()
         });
+        for entry in decoded.unreadable.iter().take(UNREADABLE_LOGGED_MAX) {
+            spdlog::error!("unreadable entry of the terms", kv: {
+                version = decoded.version.0, path = entry.path.as_str(),
+                reason = entry.reason.as_str(), effect = entry.effect
+            });
+        }
         state.terms = Arc::new(decoded);
         state.text = Some(Arc::from(text));
         drop(state);
--- a/lib/host/tests/test_gateway.rs
+++ b/lib/host/tests/test_gateway.rs
@@ -44,6 +44,10 @@
             }],
             api_keys: [("k1".into(), account), ("k2".into(), other)].into(),
             body_max_bytes: 10_000,
+            unreadable_queues: vec![terms::UnreadableQueue {
+                host: Some("h.example".into()),
+                path_prefix: Some("/q/unreadable/".into()),
+            }],
             ..terms::Terms::default()
         })
     }
@@ -401,3 +405,22 @@
     );
     assert!(text.ends_with("# EOF\n"));
 }
+
+/// Guards against callers who are told that a queue doesn't exist, or who reach another one, since the
+/// operators' entry for it can't be read.
+#[test]
+fn test_gateway_asks_callers_of_an_unreadable_queue_to_come_back() {
+    let fixture = Fixture::new();
+    for operation in [Operation::Read, Operation::Cancel] {
+        let reply = fixture.call("k1", "/q/unreadable/j1", operation);
+        assert!(
+            matches!(reply, Reply::Unavailable { retry_after_s, .. } if retry_after_s > 0),
+            "{reply:?}"
+        );
+    }
+    assert_eq!(
+        fixture.call("k1", "/r/j1", Operation::Read),
+        Reply::NoSuchQueue
+    );
+    assert_eq!(fixture.submit("k1", "j1"), QUEUED);
+}
