jobs: a job has begun when a server has shown a run of it

A placement set has_begun and the state before any order was sent, and both were stored; only the scheduler that had placed the tasks knew better, in memory. Its successor and the count in the store took the placement for a begin.

Both are set now when a server has shown a run or its end, by the reply to a start, the list of a hold or a listed end, and are stored like any change of progress. The copy in memory is gone. A restored run counts as soon as a list has it.

--- a/lib/host/src/waiting_count.rs
+++ b/lib/host/src/waiting_count.rs
@@ -49,8 +49,8 @@
         }
     }
 
-    /// Number of waiting jobs of `queue`: accepted jobs without a schedule of which no task was
-    /// placed.
+    /// Number of waiting jobs of `queue`: accepted jobs without a schedule of which no
+    /// server has shown a run to a scheduler.
     ///
     /// # Errors
     ///
@@ -133,7 +133,7 @@
     Ok(counts)
 }
 
-/// Whether the stored progress of a job says that a task was placed or that the job has ended. One
+/// Whether the stored progress of a job says that it has begun or has ended. One
 /// that can't be read says that the job is known to a scheduler.
 fn has_begun(row: Option<&store::Row>) -> bool {
     let Some(row) = row else {
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -14,7 +14,7 @@
 use crate::open_job::{OpenJob, PlacementUnit};
 use crate::placement::{Candidate, CapacitySnapshot, Demand};
 use crate::preemption::PreemptibleUnits;
-use crate::progress::{JobState, TaskState};
+use crate::progress::TaskState;
 use crate::server::Server;
 use crate::soundness;
 use crate::start_check::StartObstacle;
@@ -653,8 +653,6 @@
         let run = latest_run.unwrap_or_default().next();
         job.mark_changed();
         let generation = job.generation;
-        job.progress.state = JobState::Running;
-        job.progress.has_begun = true;
         job.progress.lives.extend(lives);
         for (index, &position) in unit.members().zip(assignment) {
             let server = snapshot.candidates()[position].entry.id.clone();
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -290,7 +290,7 @@
             self.ended_jobs.insert(id, progress.ended_unix_ms);
             return;
         }
-        if progress.has_begun {
+        if progress.has_placements() {
             // What an earlier scheduler has seen of the fleet isn't known.
             self.crashes.note_spontaneous(now.ms);
         }
@@ -695,12 +695,12 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Number of waiting jobs by queue: open jobs that have no schedule and no begun work
-    /// (`has_begun_work`).
+    /// Number of waiting jobs by queue: open jobs that have no schedule and have not begun
+    /// ([`Progress::has_begun`]).
     pub fn waiting_jobs(&self) -> BTreeMap<id::QueueName, u64> {
         let mut waiting = BTreeMap::new();
         for job in self.jobs.values() {
-            let is_waiting = !job.has_begun_work
+            let is_waiting = !job.progress.has_begun
                 && !job.progress.state.is_final()
                 && job.accepted.spec.schedule.is_none();
             if is_waiting {
--- a/lib/jobs/src/hold_replies.rs
+++ b/lib/jobs/src/hold_replies.rs
@@ -61,6 +61,7 @@
         if !is_current {
             return;
         }
+        self.mark_begun(id);
         let is_gang = self.jobs[id].step(index).is_gang;
         if end.kind == EndKind::Done && !is_gang {
             self.sample_speed(id, index, 100.0, now);
@@ -329,11 +330,12 @@
             }
             let is_sample_due = matches!(live.phase, RunPhase::Present { .. })
                 && now.ms >= live.speed_sampled_ms + SPEED_SAMPLE_INTERVAL_MS;
-            if matches!(live.phase, RunPhase::StartSent { .. }) {
+            let is_new = matches!(live.phase, RunPhase::StartSent { .. });
+            if is_new {
                 live.mark_present(now.ms);
-                self.mark_work_begun(id);
-            } else if is_sample_due && entry.percent < COMPLETE_PERCENT {
-                self.mark_work_begun(id);
+            }
+            self.mark_begun(id);
+            if !is_new && is_sample_due && entry.percent < COMPLETE_PERCENT {
                 self.sample_speed(id, index, f64::from(entry.percent) + ROUNDING_PERCENT, now);
             }
         }
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -45,9 +45,6 @@
     pub stored_generation: u64,
     /// Version of the stored row; zero if there is none.
     pub row_version: u64,
-    /// Whether a run of the job was seen on its server, or a task was placed by a previous
-    /// scheduler.
-    pub has_begun_work: bool,
     /// Whether the last attempt to reserve servers for a gang of the job has found none.
     pub is_unreservable: bool,
     /// Earliest time of the next attempt to reserve servers for a gang of the job.
@@ -77,7 +74,6 @@
         accepted_ms: u64,
     ) -> Self {
         progress.account = Some(accepted.account.clone());
-        let has_begun_work = progress.has_begun;
         Self {
             id,
             accepted,
@@ -87,7 +83,6 @@
             generation: 0,
             stored_generation: 0,
             row_version,
-            has_begun_work,
             is_unreservable: false,
             next_reservation_ms: 0,
             next_preemption_ms: 0,
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -9,7 +9,7 @@
 use crate::live_run::{LiveRun, RunPhase};
 use crate::open_job;
 use crate::orders::{RunName, StartOutcome, StartRefusal, StopOutcome};
-use crate::progress::TaskState;
+use crate::progress::{JobState, TaskState};
 use crate::server::ORDER_DELAY_MAX_MS;
 
 /// How long a backend server gets no work after it refused a task because of too few free
@@ -153,7 +153,7 @@
         match (outcome, phase) {
             (StartOutcome::Present, RunPhase::StartSent { .. }) => {
                 live.mark_present(now.ms);
-                self.mark_work_begun(id);
+                self.mark_begun(id);
             }
             (StartOutcome::Unknown { .. }, RunPhase::StartSent { since_ms, .. }) => {
                 // The delay counts from now, which is later than the sending.
@@ -173,14 +173,22 @@
             }
             // The reply to a hold has already shown more than this one, or the run is being
             // stopped.
-            (StartOutcome::Present | StartOutcome::Withheld | StartOutcome::Unknown { .. }, _) => {}
+            (StartOutcome::Present, _) => self.mark_begun(id),
+            (StartOutcome::Withheld | StartOutcome::Unknown { .. }, _) => {}
         }
     }
 
-    /// Records that a run of the job was seen on its server, which counts as begun work.
-    pub(crate) fn mark_work_begun(&mut self, id: &id::JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.has_begun_work = true;
+    /// Records that a server has shown a run of the job, or the end of one. Stored, since it can't be
+    /// concluded from a placement by others.
+    pub(crate) fn mark_begun(&mut self, id: &id::JobId) {
+        let job = self.jobs.get_mut(id);
+        let not_begun = |job: &&mut open_job::OpenJob| {
+            !job.progress.has_begun && !job.progress.state.is_final()
+        };
+        if let Some(job) = job.filter(not_begun) {
+            job.progress.has_begun = true;
+            job.progress.state = JobState::Running;
+            job.mark_changed();
         }
     }
 
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -14,10 +14,10 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobState {
-    /// No task has been placed.
+    /// No server has shown a run of the job.
     #[default]
     Queued,
-    /// A task has been placed.
+    /// A server has shown a run of the job.
     Running,
     /// All tasks have finished.
     Completed,
@@ -81,7 +81,8 @@
     /// State of the job.
     #[serde(rename = "s")]
     pub state: JobState,
-    /// Whether a task was ever placed.
+    /// Whether a server has ever shown a run of the job, or the end of one. A placement alone says
+    /// nothing: its order may be refused or lost.
     #[serde(rename = "b")]
     pub has_begun: bool,
     /// Client account that owns the job; `None` in rows of earlier versions.
@@ -126,6 +127,11 @@
         }
     }
 
+    /// Whether a task was ever placed.
+    pub fn has_placements(&self) -> bool {
+        !self.tasks.is_empty() || !self.finished_steps.is_empty()
+    }
+
     /// Whether a step is recorded as finished.
     pub fn is_step_finished(&self, occurrence: u32, step: u32) -> bool {
         self.finished_steps.contains(&(occurrence, step))
