jobs: a server gets no work by the entry of its earlier life

The entry's incarnation was dropped while decoding, so that the new life, which a hold had named, went on with the labels and the room of the old one.

The entry keeps its incarnation. While the known life is later, the server gets no new work, and placed starts aren't sent; while the entry is of a later life, the known one is doubted until a hold names it.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -222,6 +222,8 @@
     pub run_records: Vec<RunRecord>,
     /// Whether the store accepts no writes.
     pub is_store_unavailable: bool,
+    /// Whether registry entries name the incarnation of their server.
+    pub registers_lives: bool,
     /// Whether servers that tasks crash are back at once, under their ids.
     pub keeps_ids: bool,
     /// Time until a server that a task has crashed is back under a new id.
@@ -381,6 +383,7 @@
             stored: BTreeMap::new(),
             run_records: Vec::new(),
             is_store_unavailable: false,
+            registers_lives: false,
             keeps_ids: false,
             restart_ms: crashes::RESTART_MS,
             starts_over_capacity: Vec::new(),
@@ -437,6 +440,7 @@
                 accelerators: 8,
             },
             labels: vec!["kind".into(), rack.into()],
+            incarnation: None,
         };
         let server = ModelServer::new(entry);
         self.servers.insert(name.to_owned(), server);
@@ -457,7 +461,16 @@
             .iter()
             .filter(|(_, server)| !server.is_unreachable && server.life == crashes::Life::Up);
         let (registered, entries) = reachable
-            .map(|(name, server)| (name.clone(), server.entry.clone()))
+            .map(|(name, server)| {
+                let incarnation = fleet::Incarnation {
+                    started_unix_ms: server.incarnation,
+                };
+                let entry = fleet::ServerEntry {
+                    incarnation: self.registers_lives.then_some(incarnation),
+                    ..server.entry.clone()
+                };
+                (name.clone(), entry)
+            })
             .unzip();
         self.registered = registered;
         let now = self.now();
--- a/lib/host/tests/test_scheduler.rs
+++ b/lib/host/tests/test_scheduler.rs
@@ -63,6 +63,7 @@
             cold_ms: 0,
             capacity: job::Resources::default(),
             labels: Vec::new(),
+            incarnation: None,
         })
     }
 }
--- a/lib/jobs/benches/decision_cost.rs
+++ b/lib/jobs/benches/decision_cost.rs
@@ -177,6 +177,7 @@
         },
         cold_ms: 0,
         labels: vec!["kind".into(), rack.as_str().into()],
+        incarnation: None,
     }
 }
 
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -202,6 +202,9 @@
                         server.entry = Arc::new(entry);
                         has_changed = true;
                     }
+                    if server.has_entry_of_later_life() {
+                        server.doubt_life(now.ms);
+                    }
                 }
                 None => {
                     self.events.push(Event::Server {
--- a/lib/jobs/src/evacuation.rs
+++ b/lib/jobs/src/evacuation.rs
@@ -114,6 +114,7 @@
                 !self.is_evacuated(server)
                     && !server.is_over_capacity()
                     && !server.life.is_doubted()
+                    && !server.has_outdated_entry()
             })
             && !self.is_vacated(id)
     }
@@ -261,7 +262,11 @@
             () if server.is_some_and(|server| self.is_evacuated(server)) => EVACUATED_REASON,
             () if self.is_vacated(&server_id) => maintenance::MAINTENANCE_REASON,
             () if !self.has_confirmed_evacuations(now) => UNCONFIRMED_REASON,
-            () if server.is_some_and(|server| server.life.is_doubted()) => DOUBTED_LIFE_REASON,
+            () if server
+                .is_some_and(|server| server.life.is_doubted() || server.has_outdated_entry()) =>
+            {
+                DOUBTED_LIFE_REASON
+            }
             () if server.is_some_and(Server::is_over_capacity) => NO_ROOM_REASON,
             () => NO_TICKET_REASON,
         };
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -133,7 +133,7 @@
     }
 
     /// Whether the server can take new work: it is registered, isn't draining, hasn't been replaced,
-    /// replies to holds, is known to be in the life that replied, has room for what runs there, and doesn't count as full
+    /// replies to holds, is known to be in the life that replied and has registered, has room for what runs there, and doesn't count as full
     /// (`full_until_ms`).
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.is_registered
@@ -141,10 +141,31 @@
             && !self.entry.is_draining
             && self.is_heard(now_ms)
             && !self.life.is_doubted()
+            && !self.has_outdated_entry()
             && !self.is_over_capacity()
             && now_ms >= self.full_until_ms
     }
 
+    /// Whether an earlier life has registered what is known of the server. The current one may be of
+    /// another kind and size.
+    pub fn has_outdated_entry(&self) -> bool {
+        self.is_entry_of(|registered, replied| registered < replied)
+    }
+
+    /// Whether a later life than the known one has registered.
+    pub(crate) fn has_entry_of_later_life(&self) -> bool {
+        self.is_entry_of(|registered, replied| registered > replied)
+    }
+
+    fn is_entry_of(&self, is_so: fn(fleet::Incarnation, fleet::Incarnation) -> bool) -> bool {
+        // A server may state its incarnation in neither place.
+        let stated =
+            |incarnation: &fleet::Incarnation| *incarnation != fleet::Incarnation::default();
+        let replied = self.incarnation.filter(stated);
+        let both = self.entry.incarnation.zip(replied);
+        both.is_some_and(|(registered, replied)| is_so(registered, replied))
+    }
+
     /// Whether the server has replied to a hold lately.
     pub fn is_heard(&self, now_ms: u64) -> bool {
         self.last_reply_ms
--- a/lib/jobs/src/server_life.rs
+++ b/lib/jobs/src/server_life.rs
@@ -10,7 +10,7 @@
 
 use crate::engine::{Engine, Now};
 use crate::event::Event;
-use crate::server::{ClockReading, ORDER_DELAY_MAX_MS};
+use crate::server::{ClockReading, Server, ORDER_DELAY_MAX_MS};
 use crate::settings;
 
 /// How far the clock of a server may be behind the expected time. A new life whose clock is closer to
@@ -130,11 +130,18 @@
     (earliest..=latest).contains(&(server_ms as f64))
 }
 
+impl Server {
+    /// Records that the server may be in another life than the known one.
+    pub(crate) fn doubt_life(&mut self, now_ms: u64) {
+        self.life.doubt(now_ms);
+    }
+}
+
 impl Engine {
     /// Records that a server may be in another life than the known one, since an order to it has failed.
     pub fn doubt_life(&mut self, id: &id::BackendServerId, now: Now) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.life.doubt(now.ms);
+            server.doubt_life(now.ms);
         }
     }
 
--- a/lib/jobs/src/start_check.rs
+++ b/lib/jobs/src/start_check.rs
@@ -26,6 +26,8 @@
     Service,
     /// A server lacks the label that the step requires.
     Label,
+    /// What is registered of a server is of an earlier life.
+    OutdatedEntry,
     /// A server would have more tasks of the step than it may.
     TasksPerServer,
     /// What is free on a server, without runs that are being stopped, is too little.
@@ -41,6 +43,7 @@
             Self::Attempts => "attempts",
             Self::Service => "service",
             Self::Label => "label",
+            Self::OutdatedEntry => "outdated entry",
             Self::TasksPerServer => "tasks per server",
             Self::Room => "room",
         }
@@ -55,6 +58,7 @@
             | Self::Dependency
             | Self::Service
             | Self::Label
+            | Self::OutdatedEntry
             | Self::TasksPerServer
             | Self::Room => false,
         }
@@ -182,6 +186,7 @@
     let has_label = |label: &std::sync::Arc<str>| server.entry.labels.contains(label);
     let need = step.counted_need();
     match step.tasks_per_server_max {
+        _ if server.has_outdated_entry() => Some(StartObstacle::OutdatedEntry),
         _ if server.entry.service != job.accepted.terms.service => Some(StartObstacle::Service),
         _ if !step.required_label.as_ref().is_none_or(has_label) => Some(StartObstacle::Label),
         limit
--- a/lib/jobs/src/unstartable.rs
+++ b/lib/jobs/src/unstartable.rs
@@ -29,6 +29,7 @@
                 | StartObstacle::Dependency
                 | StartObstacle::Service
                 | StartObstacle::Label
+                | StartObstacle::OutdatedEntry
                 | StartObstacle::TasksPerServer
                 | StartObstacle::Room => {}
             }
--- a/lib/jobs/tests/test_placement_search.rs
+++ b/lib/jobs/tests/test_placement_search.rs
@@ -42,6 +42,7 @@
             capacity,
             cold_ms: 0,
             labels: vec![label.into(), rack.as_str().into()],
+            incarnation: None,
         };
         candidates.push(Candidate {
             entry: Arc::new(entry),
--- a/lib/jobs/tests/test_server_lives.rs
+++ b/lib/jobs/tests/test_server_lives.rs
@@ -6,7 +6,7 @@
 use camphorbeam_jobs::event::Event;
 use camphorbeam_jobs::progress::JobState;
 use camphorbeam_jobs::settings::{ReachabilityMode, Settings};
-use camphorbeam_model::id;
+use camphorbeam_model::{id, job};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -94,6 +94,56 @@
     sim.assert_no_duplicate_runs();
 }
 
+/// Guards against work for a server by the label, service or size that its earlier life has registered
+/// (review of issue 53, case 10).
+#[rstest]
+fn test_server_gets_no_work_by_the_entry_of_its_earlier_life(#[values(0, 500)] silent_ms: u64) {
+    let mut sim = Simulation::new(1, 2, 0);
+    sim.registers_lives = true;
+    for name in ["s0-0", "s0-1"] {
+        sim.server(name).entry.labels = vec!["b".into(), "r0".into()];
+    }
+    sim.register();
+    sim.run(200);
+    sim.server("s0-0").is_unreachable = silent_ms > 0;
+    sim.crash("s0-0");
+    sim.server("s0-0").entry.labels = vec!["c".into(), "r0".into()];
+    sim.run(silent_ms + STEP_MS);
+    sim.server("s0-0").is_unreachable = false;
+    let of_kind = |kind: &str| job::StepSpec {
+        required_label: Some(kind.into()),
+        ..step(3, 8, 2_000)
+    };
+    sim.submit("j1", support::NORMAL, "b", vec![of_kind("b")]);
+    sim.run(1_500);
+    let started_on = |sim: &Simulation, name: &str| {
+        let records = sim.run_records.iter();
+        records.filter(|record| record.server == name).count()
+    };
+    assert_eq!((started_on(&sim, "s0-0"), started_on(&sim, "s0-1")), (0, 1));
+    sim.register();
+    sim.run(500);
+    let other = sim.submit("j2", support::NORMAL, "b", vec![of_kind("c")]);
+    sim.run(20_000);
+    assert_eq!(sim.state(&other), JobState::Completed);
+    assert_eq!((started_on(&sim, "s0-0"), started_on(&sim, "s0-1")), (3, 3));
+}
+
+/// Guards against work for a server of which the registry shows that it has started anew, before a hold
+/// has named its life.
+#[test]
+fn test_server_with_an_entry_of_a_later_life_gets_no_work_until_a_hold_names_it() {
+    let mut sim = sim_after_a_hold();
+    sim.registers_lives = true;
+    sim.crash("s0-0");
+    sim.register();
+    sim.submit("j1", support::NORMAL, "b", vec![step(1, 1, 500)]);
+    sim.run(HOLD_INTERVAL_MS - 2 * STEP_MS);
+    assert!(sim.run_records.is_empty());
+    sim.run(HOLD_INTERVAL_MS);
+    assert_eq!(sim.run_records.len(), 1);
+}
+
 struct Scenario {
     random: ChaCha8Rng,
     sim: Simulation,
--- a/lib/model/src/fleet.rs
+++ b/lib/model/src/fleet.rs
@@ -45,6 +45,8 @@
     pub capacity: job::Resources,
     /// The hardware type of the server, followed by its rack.
     pub labels: Vec<Arc<str>>,
+    /// The incarnation that has registered this; `None` if it doesn't say.
+    pub incarnation: Option<Incarnation>,
 }
 
 impl ServerEntry {
