jobs: a clock that changes within a life no longer counts as another life

A server whose clock had jumped, and whose next hold named the same life, went on to count as one with an unnamed clock, so that with each later doubt the reply to a pending hold was ignored. By reading; no test. Also comments on what counts as not sent.

--- a/lib/host/src/order_sender.rs
+++ b/lib/host/src/order_sender.rs
@@ -30,9 +30,9 @@
     }
 
     /// Sends orders to one server in sequence. Once an order gets no reply, the remaining ones are
-    /// not sent but count as unanswered (with the outcome `unknown` in the metrics). Waiting for
-    /// the timeout of each would delay starts that belong to a gang, whose other members wait for
-    /// them; the engine repeats the orders soon.
+    /// not sent: starts count as not sent, stops as unanswered. Waiting for the timeout of each would
+    /// delay starts that belong to a gang, whose other members wait for them; the engine repeats the
+    /// orders soon, or places the starts elsewhere.
     async fn send_server_orders(
         self: Arc<Self>,
         server: id::BackendServerId,
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -203,7 +203,7 @@
                         has_changed = true;
                     }
                     if server.has_entry_of_later_life() {
-                        server.doubt_life(now.ms);
+                        server.life.doubt(now.ms);
                     }
                 }
                 None => {
--- a/lib/jobs/src/server.rs
+++ b/lib/jobs/src/server.rs
@@ -133,8 +133,8 @@
     }
 
     /// Whether the server can take new work: it is registered, isn't draining, hasn't been replaced,
-    /// replies to holds, is known to be in the life that replied and has registered, has room for what runs there, and doesn't count as full
-    /// (`full_until_ms`).
+    /// replies to holds, is known to be in the life that replied and has registered, has room for
+    /// what runs there, and doesn't count as full (`full_until_ms`).
     pub fn is_usable(&self, now_ms: u64) -> bool {
         self.is_registered
             && !self.is_replaced
--- a/lib/jobs/src/server_life.rs
+++ b/lib/jobs/src/server_life.rs
@@ -10,7 +10,7 @@
 
 use crate::engine::{Engine, Now};
 use crate::event::Event;
-use crate::server::{ClockReading, Server, ORDER_DELAY_MAX_MS};
+use crate::server::{ClockReading, ORDER_DELAY_MAX_MS};
 use crate::settings;
 
 /// How far the clock of a server may be behind the expected time. A new life whose clock is closer to
@@ -37,8 +37,8 @@
     clock_since_ms: u64,
     /// When the newest order with a lease by the known clock was noticed to have no reply.
     lease_unanswered_ms: Option<u64>,
-    /// Until when the server may carry out orders with a lease by an earlier clock, and how they came
-    /// to be: they had no reply when the life changed.
+    /// Until when the server may carry out orders with a lease by an earlier clock, which had no reply
+    /// when the life changed.
     foreign_orders_until_ms: Option<u64>,
 }
 
@@ -50,15 +50,17 @@
     }
 
     /// See [`LifeBelief::is_doubted`]. The first reason counts.
-    fn doubt(&mut self, now_ms: u64) {
+    pub(crate) fn doubt(&mut self, now_ms: u64) {
         self.doubted_since_ms.get_or_insert(now_ms);
     }
 
     /// Records that a hold sent at `sent_ms` was answered by the known life.
     pub(crate) fn confirm(&mut self, sent_ms: u64) {
         let is_later = |since_ms: u64| sent_ms >= since_ms;
-        if self.doubted_since_ms.is_none_or(is_later) {
+        if self.doubted_since_ms.is_some_and(is_later) {
             self.doubted_since_ms = None;
+            // The clock has changed within the life.
+            self.has_unnamed_clock = false;
         }
     }
 
@@ -130,18 +132,11 @@
     (earliest..=latest).contains(&(server_ms as f64))
 }
 
-impl Server {
-    /// Records that the server may be in another life than the known one.
-    pub(crate) fn doubt_life(&mut self, now_ms: u64) {
-        self.life.doubt(now_ms);
-    }
-}
-
 impl Engine {
     /// Records that a server may be in another life than the known one, since an order to it has failed.
     pub fn doubt_life(&mut self, id: &id::BackendServerId, now: Now) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.doubt_life(now.ms);
+            server.life.doubt(now.ms);
         }
     }
 
