tests: clocks of order replies, and orders that were not sent

Guards what server_life rests on: a reply to a start or stop states the clock of its server, and an order that was never sent is told from one without a reply.

--- a/lib/fleet-model/src/lib.rs
+++ b/lib/fleet-model/src/lib.rs
@@ -241,6 +241,8 @@
     pub adviser: Option<advice::ModelAdviser>,
     /// Share of start orders that get no reply and are carried out 2 to 12 s later.
     pub delayed_start_ratio: f64,
+    /// Servers to which no start order can be sent. Holds reach them.
+    pub refuses_connections: BTreeSet<String>,
     /// Whether an order that an earlier life of a server has received may be carried out by a later
     /// one, within its lease.
     pub delayed_starts_outlive_servers: bool,
@@ -392,6 +394,7 @@
             is_operator_feed_lost: false,
             adviser: None,
             delayed_start_ratio: 0.0,
+            refuses_connections: BTreeSet::new(),
             delayed_starts_outlive_servers: true,
             delayed_starts: Vec::new(),
             epoch: 1,
--- a/lib/fleet-model/src/orders.rs
+++ b/lib/fleet-model/src/orders.rs
@@ -41,7 +41,11 @@
             match order {
                 Order::Start(server_name, start) => {
                     let sendable = self.engine.sendable_start(&server_name, &start, now);
+                    let is_refused = self.refuses_connections.contains(server_name.as_str());
                     let outcome = match sendable {
+                        Some(_) if is_refused => StartOutcome::NotSent {
+                            reason: "refused".to_owned(),
+                        },
                         Some(start) => self.start_or_delay(server_name.as_str(), &start),
                         None => StartOutcome::Withheld,
                     };
@@ -50,6 +54,9 @@
                             self.engine.order_unanswered(&server_name, now.ms, now);
                             self.engine.lease_unanswered(&server_name, now.ms, now);
                         }
+                        StartOutcome::NotSent { .. } => {
+                            self.engine.order_unanswered(&server_name, now.ms, now);
+                        }
                         StartOutcome::Present => self.state_clock(&server_name),
                         _ => {}
                     }
