--- a/lib/jobs/src/server_life.rs
+++ b/lib/jobs/src/server_life.rs
@@ -21,8 +21,8 @@
 /// long as a hold may take.
 const CLOCK_AHEAD_MAX_MS: u64 = 3_000;
 
-/// Time after a reply to a hold within which the same life is taken for granted when ends are
-/// acknowledged. A server can't start anew, run a task and end it within that.
+/// Time after a reply to a hold within which ends are acknowledged to the life that has replied.
+/// Assumes that no server starts anew, runs a task and lists its end within that.
 pub(crate) const LIFE_GRANTED_MS: u64 = 1_000;
 
 /// What is known about the life that a server is in.
