jobs: the work of a decision follows what can start, not what is due

Cause: due_units made a unit for each task of each due occurrence, copied and walked in each decision, anew after each change of the job and each takeover; nothing bounds occurrences. Finished steps were kept one by one, in memory and in the stored row.

Change: the open occurrences of a step are ranges; a decision looks at a window of the tasks that have no record, which are alike, and at all others. Finished steps are stored as ranges; rows of before are read. Sums count all waiting tasks from the ranges. A job has at most 1,000 unfinished tasks with a record, which only repeated jobs can reach, so that its progress fits in a row. The fleet model no longer advances the tasks of all occurrences as one unit.

Why it works: nothing that is made, copied or stored is per occurrence that can't start now.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -16,17 +16,15 @@
     /// Advances all runs by one step and ends those that finished, failed, were stopped or whose
     /// lease lapsed.
     pub(crate) fn advance_runs(&mut self) {
-        let mut units: BTreeMap<(id::JobId, u32, id::Run), Vec<(String, RunName)>> =
-            BTreeMap::new();
+        let mut units: BTreeMap<(job::TaskName, id::Run), Vec<(String, RunName)>> = BTreeMap::new();
         for (server_name, server) in &self.servers {
             for run in server.running.keys() {
-                let rank_key = match self.spec(run).is_gang {
-                    true => 0,
-                    false => run.task.index.rank + 1,
-                };
-                let step = run.task.index.step * 10_000 + rank_key;
+                let mut first = run.task.clone();
+                if self.spec(run).is_gang {
+                    first.index.rank = 0;
+                }
                 units
-                    .entry((run.task.job.clone(), step, run.run))
+                    .entry((first, run.run))
                     .or_default()
                     .push((server_name.clone(), run.clone()));
             }
--- a/lib/host/src/scheduler.rs
+++ b/lib/host/src/scheduler.rs
@@ -616,6 +616,9 @@
                 engine.set_terms(terms);
                 if self.is_scheduler_lease_valid() {
                     engine.decide(now);
+                    if engine.has_more_to_place() {
+                        self.decide_wakeup.wake();
+                    }
                 }
                 let zones = i64::try_from(engine.evacuated_zones());
                 let gauge = &self.deps.metrics.evacuated_zones;
--- a/lib/jobs/src/claims.rs
+++ b/lib/jobs/src/claims.rs
@@ -64,11 +64,10 @@
 impl Engine {
     /// Drops claims that have expired or whose unit is no longer ready to start.
     pub(crate) fn drop_claims(&mut self, now: Now) {
-        let jobs = &mut self.jobs;
+        let jobs = &self.jobs;
         self.claims.retain(|(id, unit), claim| {
-            let is_waiting = jobs
-                .get_mut(id)
-                .is_some_and(|job| job.ready_units(now.unix_ms).contains(unit));
+            let job = jobs.get(id);
+            let is_waiting = job.is_some_and(|job| job.is_ready(*unit, now.unix_ms));
             is_waiting && now.ms < claim.until_ms
         });
     }
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -151,10 +151,14 @@
             false => BTreeSet::new(),
         };
         for job in self.jobs.values_mut() {
-            let units = job.ready_units(now.unix_ms).to_vec();
-            if units.is_empty() {
+            let ready = job.ready(now.unix_ms);
+            if ready.units.is_empty() {
                 continue;
             }
+            let units = ready.units.clone();
+            let window_ends = ready.window_ends.clone();
+            let has_more = ready.has_more();
+            let waiting_tasks = ready.waiting_tasks.clone();
             let age_ms = now.ms.saturating_sub(job.accepted_ms);
             let has_no_value =
                 age_ms > job.objective_ms().saturating_mul(NO_VALUE_AFTER_OBJECTIVES);
@@ -178,6 +182,9 @@
                 job: job.id.clone(),
                 priority,
                 units,
+                window_ends,
+                has_more,
+                waiting_tasks,
             };
             ready_jobs.push((sort_key, ready_job));
         }
@@ -210,9 +217,10 @@
     fn update_shortage(&mut self, ready_jobs: &[ReadyJob]) {
         let is_left = |ready_job: &&ReadyJob| {
             let units = ready_job.units.iter().rev();
-            units
-                .copied()
-                .any(|unit| self.is_waiting(&ready_job.job, unit))
+            ready_job.has_more
+                || units
+                    .copied()
+                    .any(|unit| self.is_waiting(&ready_job.job, unit))
         };
         let short: BTreeSet<id::ServiceName> = ready_jobs
             .iter()
@@ -223,7 +231,16 @@
             .set_shortage(|service| short.contains(service));
     }
 
+    /// Whether a decision has started the last unit of a window, which shows that it was too small.
+    fn has_used_up_a_window(&self, ready_jobs: &[ReadyJob]) -> bool {
+        ready_jobs.iter().any(|ready_job| {
+            let mut ends = ready_job.window_ends.iter();
+            ends.any(|&unit| !self.is_waiting(&ready_job.job, unit))
+        })
+    }
+
     fn place_all(&mut self, now: Now) {
+        self.has_more_to_place = false;
         self.update_fair_share(now);
         let ready_jobs = self.ready_jobs(now);
         self.update_headroom(&ready_jobs, now);
@@ -260,6 +277,7 @@
             }
             self.place_job(ready_job, &mut round, now);
         }
+        self.has_more_to_place = self.has_used_up_a_window(&ready_jobs);
         if self.fair_share.is_on() {
             self.update_shortage(&ready_jobs);
         }
@@ -326,8 +344,16 @@
 
     fn place_job(&mut self, ready_job: &ReadyJob, round: &mut PlacementRound, now: Now) {
         let step = |unit: &PlacementUnit| (unit.first.occurrence, unit.first.step);
+        // Steps of which a unit without needs of its own found no servers. The same units of later
+        // occurrences need not be tried.
+        let mut full_steps = BTreeSet::new();
         for units in ready_job.units.chunk_by(|a, b| step(a) == step(b)) {
             let id = &ready_job.job;
+            let step_index = units[0].first.step;
+            let is_full = full_steps.contains(&step_index);
+            if is_full && self.jobs[id].is_fresh(units) {
+                continue;
+            }
             let has_losses = !self.jobs[id].progress.crashes.is_empty();
             let startable = units.iter().copied().filter(|&unit| {
                 let is_claimed =
@@ -357,19 +383,24 @@
                 .into_iter()
                 .partition(|&unit| self.soundness_need(id, unit, now) == soundness::Need::Proven);
             self.place_step(id, &last_attempts, round, now);
-            self.place_step(id, &others, round, now);
+            if !is_full && !self.place_step(id, &others, round, now) {
+                let job = &self.jobs[id];
+                if !job.has_apart_occurrences(job.step(units[0].first)) {
+                    full_steps.insert(step_index);
+                }
+            }
         }
     }
 
     /// Places units of one step. They have the same needs, so if one isn't started, the others wait
-    /// for the next decision.
+    /// for the next decision. Returns whether all were started.
     fn place_step(
         &mut self,
         id: &id::JobId,
         units: &[PlacementUnit],
         round: &mut PlacementRound,
         now: Now,
-    ) {
+    ) -> bool {
         let mut left = units;
         if units.iter().all(|unit| unit.count == 1) {
             left = self.place_single_tasks(id, left, None, round, now);
@@ -380,14 +411,11 @@
                 if let Some(&unit) = left.first() {
                     self.report_wait_for_proven(id, unit, now);
                 }
-                return;
-            }
-        }
-        for &unit in left {
-            if !self.place_unit(id, unit, round, now) {
-                return;
+                return left.is_empty();
             }
         }
+        left.iter()
+            .all(|&unit| self.place_unit(id, unit, round, now))
     }
 
     /// Starts as many of the units as fit, each of one task of the same step, on servers of at
@@ -512,11 +540,10 @@
         for ready_job in ready_jobs {
             if ready_job.priority == 0 {
                 let job = &self.jobs[&ready_job.job];
-                let accelerators_of = |unit: &PlacementUnit| {
-                    let need = job.step(unit.first).need.accelerators;
-                    need.saturating_mul(u64::from(unit.count))
-                };
-                let waiting = ready_job.units.iter().map(accelerators_of);
+                let steps = job.accepted.spec.steps.iter();
+                let waiting = steps
+                    .zip(&ready_job.waiting_tasks)
+                    .map(|(step, tasks)| step.need.accelerators.saturating_mul(*tasks));
                 let of_service = urgent.entry(job.accepted.terms.service.clone());
                 let of_service = of_service.or_default();
                 *of_service = waiting.fold(*of_service, u64::saturating_add);
@@ -646,6 +673,7 @@
             return Err(StartObstacle::NotWaiting);
         };
         let need = job.step(unit.first).counted_need();
+        job.note_opened(unit);
         let latest_run = unit
             .members()
             .map(|index| job.progress.task(index).run)
@@ -706,7 +734,12 @@
 pub(crate) struct ReadyJob {
     pub job: id::JobId,
     pub priority: u32,
+    /// See [`crate::ready_units::ReadyUnits`], also for the other fields.
     pub units: Vec<PlacementUnit>,
+    pub window_ends: Vec<PlacementUnit>,
+    /// Whether tasks may start that `units` doesn't hold.
+    pub has_more: bool,
+    pub waiting_tasks: Vec<u64>,
 }
 
 /// The state of one scheduling decision.
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -136,6 +136,8 @@
     /// Tasks that a restarted server may still start by an unanswered order, and until when. The
     /// new incarnation doesn't know that the run has ended or was stopped.
     pub(crate) late_starts: BTreeMap<job::TaskName, u64>,
+    /// See [`Engine::has_more_to_place`].
+    pub(crate) has_more_to_place: bool,
     pub(crate) orders: Vec<Order>,
     pub(crate) events: Vec<Event>,
     /// See [`Engine::is_deposed`].
@@ -160,6 +162,12 @@
         self.is_deposed
     }
 
+    /// Whether the newest decision has started all units of a step that it looked at while more of
+    /// them wait, so that the next one should follow at once.
+    pub fn has_more_to_place(&self) -> bool {
+        self.has_more_to_place
+    }
+
     /// Applies `terms` to all open jobs, unless a version at least as new is in force.
     pub fn set_terms(&mut self, terms: Arc<terms::Terms>) {
         if terms.version <= self.terms.version {
--- a/lib/jobs/src/fair_share.rs
+++ b/lib/jobs/src/fair_share.rs
@@ -278,10 +278,10 @@
                     false => usage.served_cores += preemption::core_seconds(&live.need, 1_000),
                 }
             }
-            let waiting: Vec<_> = job.ready_units(now.unix_ms).to_vec();
-            for unit in waiting {
-                let cores = preemption::core_seconds(&job.step(unit.first).need, 1_000);
-                usage.waiting_cores += cores * f64::from(unit.count);
+            let waiting_tasks = job.ready(now.unix_ms).waiting_tasks.clone();
+            for (step, tasks) in job.accepted.spec.steps.iter().zip(waiting_tasks) {
+                let cores = preemption::core_seconds(&step.need, 1_000);
+                usage.waiting_cores += cores * tasks as f64;
             }
             if usage == Usage::default() {
                 continue;
--- a/lib/jobs/src/open_job.rs
+++ b/lib/jobs/src/open_job.rs
@@ -5,7 +5,7 @@
 use camphorbeam_model::{id, job};
 
 use crate::start_check::{self, StartObstacle};
-use crate::{live_run, progress};
+use crate::{live_run, progress, ready_units};
 
 /// Tasks that are placed and started together: all members of a gang, or a single task.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,17 +51,9 @@
     pub next_reservation_ms: u64,
     /// Earliest time of the next attempt to preempt other work for this job.
     pub next_preemption_ms: u64,
-    ready: Option<Ready>,
-}
-
-/// Cached result of [`OpenJob::ready_units`]: the units that may start, and when the next
-/// occurrence adds more.
-#[derive(Clone, Debug)]
-struct Ready {
-    units: Vec<PlacementUnit>,
-    next_due_unix_ms: Option<u64>,
-    /// The first of `units` that has a final obstacle.
-    unstartable: Option<(PlacementUnit, StartObstacle)>,
+    /// Number of fresh tasks that may still get a record before `ready` is computed again.
+    fresh_tasks_left: u32,
+    ready: Option<ready_units::ReadyUnits>,
 }
 
 impl OpenJob {
@@ -86,6 +78,7 @@
             is_unreservable: false,
             next_reservation_ms: 0,
             next_preemption_ms: 0,
+            fresh_tasks_left: ready_units::OPEN_TASKS_MAX,
             ready: None,
         }
     }
@@ -158,16 +151,19 @@
 
     /// Whether all steps of all occurrences have finished.
     pub fn has_finished_all_steps(&self) -> bool {
-        let steps = self.accepted.spec.steps.len() as u32;
-        (0..self.accepted.spec.occurrence_count())
-            .all(|occurrence| (0..steps).all(|step| self.is_step_finished(occurrence, step)))
+        let Some(last) = self.accepted.spec.occurrence_count().checked_sub(1) else {
+            return true;
+        };
+        let finished = &self.progress.finished_steps;
+        let mut steps = 0..self.accepted.spec.steps.len() as u32;
+        steps.all(|step| finished.missing_within(step, &(0..=last)).is_empty())
     }
 
     /// Units that may start at the wall clock time `unix_ms`: their occurrence is due, the steps
-    /// that they depend on have finished, and none of their tasks is done or has a run.
+    /// that they depend on have finished, and none of their tasks is done or has a run. Of the tasks
+    /// that have no record yet, only the first ones are included.
     pub fn ready_units(&mut self, unix_ms: u64) -> &[PlacementUnit] {
-        self.update_ready(unix_ms);
-        self.ready.as_ref().map_or(&[], |ready| &ready.units)
+        &self.ready(unix_ms).units
     }
 
     /// A ready unit with an obstacle that nothing can remove, see [`StartObstacle::is_final`].
@@ -175,87 +171,58 @@
         &mut self,
         unix_ms: u64,
     ) -> Option<(PlacementUnit, StartObstacle)> {
-        self.update_ready(unix_ms);
-        self.ready.as_ref()?.unstartable
+        self.ready(unix_ms).unstartable
     }
 
-    fn update_ready(&mut self, unix_ms: u64) {
+    /// What may start at the wall clock time `unix_ms`.
+    pub(crate) fn ready(&mut self, unix_ms: u64) -> &ready_units::ReadyUnits {
         let is_current = self.ready.as_ref().is_some_and(|ready| {
             ready
                 .next_due_unix_ms
                 .is_none_or(|due_unix_ms| unix_ms < due_unix_ms)
         });
-        if !is_current {
-            self.ready = Some(self.compute_ready(unix_ms));
-        }
+        let ready = match self.ready.take() {
+            Some(ready) if is_current => ready,
+            _ => {
+                let ready = ready_units::ReadyUnits::compute(self, unix_ms);
+                self.fresh_tasks_left = ready.fresh_tasks_left;
+                ready
+            }
+        };
+        self.ready.insert(ready)
     }
 
-    fn compute_ready(&self, unix_ms: u64) -> Ready {
-        let (units, next_due_unix_ms) = self.due_units(unix_ms);
-        let final_obstacle = |&unit: &PlacementUnit| {
-            let obstacle = start_check::unit_obstacle(self, unit)?;
-            obstacle.is_final().then_some((unit, obstacle))
-        };
-        Ready {
-            unstartable: units.iter().find_map(final_obstacle),
-            units,
-            next_due_unix_ms,
-        }
+    /// Whether a unit may start at the wall clock time `unix_ms`, also one that
+    /// [`OpenJob::ready_units`] doesn't include.
+    pub(crate) fn is_ready(&self, unit: PlacementUnit, unix_ms: u64) -> bool {
+        let is_due = unit.first.occurrence < self.accepted.spec.due_count(unix_ms);
+        is_due && start_check::is_waiting_for_start(self, unit)
     }
 
-    /// The units that may start at `unix_ms`, and when the next occurrence adds more.
-    fn due_units(&self, unix_ms: u64) -> (Vec<PlacementUnit>, Option<u64>) {
-        let mut units = Vec::new();
-        if self.progress.state.is_final() {
-            return (units, None);
-        }
-        for occurrence in 0..self.accepted.spec.occurrence_count() {
-            match self.accepted.spec.due_unix_ms(occurrence) {
-                Some(due_unix_ms) if due_unix_ms > unix_ms => {
-                    return (units, Some(due_unix_ms));
-                }
-                _ => self.add_ready_units(occurrence, &mut units),
-            }
-        }
-        (units, None)
+    /// Whether none of `units` has a record: nothing is known of them that isn't of their step.
+    pub(crate) fn is_fresh(&self, units: &[PlacementUnit]) -> bool {
+        let has_record = |unit: &PlacementUnit| self.progress.tasks.contains_key(&unit.first);
+        !units.iter().any(has_record)
     }
 
-    fn add_ready_units(&self, occurrence: u32, units: &mut Vec<PlacementUnit>) {
-        for (step, spec) in self.accepted.spec.steps.iter().enumerate() {
-            let step = step as u32;
-            let is_due = spec
-                .depends_on
-                .iter()
-                .all(|&dependency| self.is_step_finished(occurrence, dependency));
-            if !is_due {
-                continue;
-            }
-            let first = job::TaskIndex {
-                occurrence,
-                step,
-                rank: 0,
-            };
-            match spec.is_gang {
-                true => {
-                    let unit = PlacementUnit {
-                        first,
-                        count: spec.task_count,
-                    };
-                    units.extend(
-                        unit.members()
-                            .all(|index| self.is_waiting(index))
-                            .then_some(unit),
-                    );
-                }
-                false => units.extend((0..spec.task_count).filter_map(|rank| {
-                    let first = job::TaskIndex { rank, ..first };
-                    self.is_waiting(first)
-                        .then_some(PlacementUnit { first, count: 1 })
-                })),
-            }
+    /// Counts the fresh tasks of a unit that gets records now.
+    pub(crate) fn note_opened(&mut self, unit: PlacementUnit) {
+        if !self.progress.tasks.contains_key(&unit.first) {
+            self.fresh_tasks_left = self.fresh_tasks_left.saturating_sub(unit.count);
         }
     }
 
+    /// Whether the job may give records to the fresh tasks of `unit`, see
+    /// [`ready_units::OPEN_TASKS_MAX`].
+    pub(crate) fn may_open(&self, unit: PlacementUnit) -> bool {
+        self.progress.tasks.contains_key(&unit.first) || unit.count <= self.fresh_tasks_left
+    }
+
+    /// Whether one occurrence of a step may be able to start on servers on which another can't.
+    pub(crate) fn has_apart_occurrences(&self, step: &job::StepSpec) -> bool {
+        step.tasks_per_server_max > 0 || self.accepted.terms.advice.is_some()
+    }
+
     /// Whether a task waits for a run and has none.
     pub(crate) fn is_waiting(&self, index: job::TaskIndex) -> bool {
         self.progress.task_state(index) == progress::TaskState::Waiting
--- a/lib/jobs/src/progress.rs
+++ b/lib/jobs/src/progress.rs
@@ -1,6 +1,6 @@
 //! The progress of a job, which is stored while the job runs and after its end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::Arc;
 
@@ -8,7 +8,7 @@
 use serde::de::{self, SeqAccess, Visitor};
 use serde::ser::SerializeTuple as _;
 
-use crate::crash_evidence;
+use crate::{crash_evidence, finished_steps};
 
 /// The state of a job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -95,10 +95,14 @@
     /// is finished.
     #[serde(rename = "t", with = "entries")]
     pub tasks: BTreeMap<job::TaskIndex, TaskRecord>,
-    /// Finished steps, as pairs of occurrence and step. Their tasks are removed from `tasks`, so
-    /// that the row of a job with many occurrences stays small.
-    #[serde(rename = "d", default, skip_serializing_if = "BTreeSet::is_empty")]
-    pub finished_steps: BTreeSet<(u32, u32)>,
+    /// Finished steps. Their tasks are removed from `tasks`, so that the row of a job with many
+    /// occurrences stays small.
+    #[serde(
+        rename = "d",
+        default,
+        skip_serializing_if = "finished_steps::FinishedSteps::is_empty"
+    )]
+    pub finished_steps: finished_steps::FinishedSteps,
     /// Losses of servers under tasks that have not finished.
     #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<crash_evidence::CrashEntry>,
@@ -134,14 +138,22 @@
 
     /// Whether a step is recorded as finished.
     pub fn is_step_finished(&self, occurrence: u32, step: u32) -> bool {
-        self.finished_steps.contains(&(occurrence, step))
+        self.finished_steps.contains(occurrence, step)
     }
 
     /// Records that all tasks of a step have finished, and removes their progress records.
     pub fn finish_step(&mut self, occurrence: u32, step: u32) {
-        self.finished_steps.insert((occurrence, step));
-        self.tasks
-            .retain(|index, _| (index.occurrence, index.step) != (occurrence, step));
+        self.finished_steps.insert(occurrence, step);
+        let rank = |rank| job::TaskIndex {
+            occurrence,
+            step,
+            rank,
+        };
+        let indexes = self.tasks.range(rank(0)..=rank(u32::MAX));
+        let indexes: Vec<_> = indexes.map(|(index, _)| *index).collect();
+        for index in indexes {
+            self.tasks.remove(&index);
+        }
         self.crashes.retain(|entry| {
             let task = entry.task();
             (task.occurrence, task.step) != (occurrence, step)
--- a/lib/jobs/src/start_check.rs
+++ b/lib/jobs/src/start_check.rs
@@ -22,6 +22,8 @@
     Dependency,
     /// A task has failed as often as it may.
     Attempts,
+    /// The job has as many unfinished tasks with a record as it may.
+    OpenTasks,
     /// A server is of another service than the job's, or isn't known.
     Service,
     /// A server lacks the label that the step requires.
@@ -41,6 +43,7 @@
             Self::NotWaiting => "not waiting",
             Self::Dependency => "dependency",
             Self::Attempts => "attempts",
+            Self::OpenTasks => "open tasks",
             Self::Service => "service",
             Self::Label => "label",
             Self::OutdatedEntry => "outdated entry",
@@ -56,6 +59,7 @@
             Self::Attempts => true,
             Self::NotWaiting
             | Self::Dependency
+            | Self::OpenTasks
             | Self::Service
             | Self::Label
             | Self::OutdatedEntry
@@ -142,17 +146,23 @@
 /// Why `unit` must not start on any server; `None` if it may on some.
 pub(crate) fn unit_obstacle(job: &OpenJob, unit: PlacementUnit) -> Option<StartObstacle> {
     match () {
-        () if job.progress.state.is_final()
-            || !unit.members().all(|index| job.is_waiting(index)) =>
-        {
-            Some(StartObstacle::NotWaiting)
-        }
+        () if !is_waiting(job, unit) => Some(StartObstacle::NotWaiting),
         () if !are_dependencies_finished(job, unit) => Some(StartObstacle::Dependency),
         () if !has_attempts_left(job, unit) => Some(StartObstacle::Attempts),
+        () if !job.may_open(unit) => Some(StartObstacle::OpenTasks),
         () => None,
     }
 }
 
+/// Whether a unit waits and the steps that it depends on have finished.
+pub(crate) fn is_waiting_for_start(job: &OpenJob, unit: PlacementUnit) -> bool {
+    is_waiting(job, unit) && are_dependencies_finished(job, unit)
+}
+
+fn is_waiting(job: &OpenJob, unit: PlacementUnit) -> bool {
+    !job.progress.state.is_final() && unit.members().all(|index| job.is_waiting(index))
+}
+
 fn are_dependencies_finished(job: &OpenJob, unit: PlacementUnit) -> bool {
     let mut dependencies = job.step(unit.first).depends_on.iter();
     dependencies.all(|&step| job.is_step_finished(unit.first.occurrence, step))
--- a/lib/jobs/src/unmet.rs
+++ b/lib/jobs/src/unmet.rs
@@ -5,7 +5,6 @@
 
 use camphorbeam_model::id;
 
-use crate::advice::StepName;
 use crate::decide::ReadyJob;
 use crate::engine::{Engine, Now};
 use crate::event::Event;
@@ -40,7 +39,8 @@
 /// The steps that wait for such a server, each reported once as long as that lasts.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct UnmetNeeds {
-    reported: BTreeSet<StepName>,
+    /// By job and step. The occurrences of a step need the same.
+    reported: BTreeSet<(id::JobId, u32)>,
     next_check_ms: u64,
 }
 
@@ -52,15 +52,15 @@
         }
         self.unmet.next_check_ms = now.ms + CHECK_INTERVAL_MS;
         let mut unmet = BTreeSet::new();
-        let step_of = |unit: &PlacementUnit| (unit.first.occurrence, unit.first.step);
         for ready_job in ready_jobs {
             let id: &id::JobId = &ready_job.job;
-            let steps = ready_job.units.chunk_by(|a, b| step_of(a) == step_of(b));
-            for unit in steps.filter_map(|units| units.first()) {
+            let mut checked = BTreeSet::new();
+            let firsts = ready_job.units.iter();
+            for unit in firsts.filter(|unit| checked.insert(unit.first.step)) {
                 let Some(need) = self.unmet_need(&self.jobs[id], *unit) else {
                     continue;
                 };
-                let step = StepName::of(id, unit.first);
+                let step = (id.clone(), unit.first.step);
                 if !self.unmet.reported.contains(&step) {
                     self.events.push(Event::NoServer {
                         job: id.clone(),
--- a/lib/jobs/src/unstartable.rs
+++ b/lib/jobs/src/unstartable.rs
@@ -27,6 +27,7 @@
                 StartObstacle::Attempts => self.end_if_out_of_attempts(&id, unit, now),
                 StartObstacle::NotWaiting
                 | StartObstacle::Dependency
+                | StartObstacle::OpenTasks
                 | StartObstacle::Service
                 | StartObstacle::Label
                 | StartObstacle::OutdatedEntry
--- a/lib/model/src/job.rs
+++ b/lib/model/src/job.rs
@@ -152,6 +152,25 @@
     pub occurrences: u32,
 }
 
+impl Schedule {
+    /// Returns the due time of `occurrence` in milliseconds since the Unix epoch.
+    pub fn due_unix_ms(&self, occurrence: u32) -> u64 {
+        let offset_ms = self.interval_ms.saturating_mul(u64::from(occurrence));
+        self.first_unix_ms.saturating_add(offset_ms)
+    }
+
+    /// Returns how many occurrences are due at `unix_ms`, in milliseconds since the Unix epoch.
+    pub fn due_count(&self, unix_ms: u64) -> u32 {
+        let Some(since_first_ms) = unix_ms.checked_sub(self.first_unix_ms) else {
+            return 0;
+        };
+        let after_first = since_first_ms.checked_div(self.interval_ms);
+        // With an interval of 0 all are due at once.
+        let due_count = after_first.map_or(u64::MAX, |after_first| after_first.saturating_add(1));
+        u32::try_from(due_count).map_or(self.occurrences, |due| due.min(self.occurrences))
+    }
+}
+
 /// A job as its caller submits it.
 #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct JobSpec {
@@ -205,11 +224,15 @@
     /// Returns the due time of `occurrence` in milliseconds since the Unix epoch, or `None` if the
     /// job has no schedule. Occurrences count from 0.
     pub fn due_unix_ms(&self, occurrence: u32) -> Option<u64> {
-        self.schedule.map(|schedule| {
-            schedule
-                .first_unix_ms
-                .saturating_add(schedule.interval_ms.saturating_mul(u64::from(occurrence)))
-        })
+        self.schedule
+            .map(|schedule| schedule.due_unix_ms(occurrence))
+    }
+
+    /// Returns how many occurrences are due at `unix_ms`, in milliseconds since the Unix epoch; 1
+    /// for a job without a schedule.
+    pub fn due_count(&self, unix_ms: u64) -> u32 {
+        self.schedule
+            .map_or(1, |schedule| schedule.due_count(unix_ms))
     }
 
     /// Checks the rules that don't depend on the cluster.
