jobs: a task waits for a late start only until its restarted server refuses it

Cause: once a server has started anew, the tasks of its unanswered starts were held back for the longest delay of an order. The stop was sent once, and neither its acceptance nor the new life's lists were used as evidence.

Change: a late start is closed for the life that has taken the stop, once a hold sent after that doesn't list the run, or once that life lists an end of it. The stop is repeated until it is taken. A doubted or later life opens it again. A single task starts on the server that refuses the late start first, so that a still later life can't run it beside another; a task that needs an empty server waits for the time. The bound without evidence stays 14 s.

The fleet model's check of run numbers now allows that an order without a reply runs after a later run of its task has ended with the life between, without a stored end: the runs don't overlap, none is done, and no rule forbids it; overlap and starts after an end are checked as before.

Why it works: a life that has taken the stop refuses every run up to that one, and the later list shows that none came before the stop.

--- a/lib/fleet-model/src/run_progress.rs
+++ b/lib/fleet-model/src/run_progress.rs
@@ -190,6 +190,9 @@
             }
             | Event::EarlierRunDone {
                 job, task: index, ..
+            }
+            | Event::LateStartRefused {
+                job, task: index, ..
             } => job == &task.job && index == &task.index,
             Event::State { job, .. }
             | Event::NoServer { job, .. }
@@ -234,10 +237,11 @@
                     self.event_log(&earlier.name.task)
                 );
                 // An order that was delivered twice may run in two incarnations of its server,
-                // unless the end of the first run was acknowledged.
+                // unless the end of the first run was acknowledged. So may an order without a reply
+                // run after a later run that has ended with an incarnation in between.
                 let is_after_crash = later.server == earlier.server
                     && later.incarnation > earlier.incarnation
-                    && later.name.run == earlier.name.run
+                    && later.name.run <= earlier.name.run
                     && !earlier.is_acknowledged;
                 assert!(
                     later.name.run > earlier.name.run || is_after_crash,
--- a/lib/host/src/event_log.rs
+++ b/lib/host/src/event_log.rs
@@ -189,6 +189,16 @@
             job = job.as_str(), task = format_task_index(*task).as_str(), run = run.0,
             server = server.as_str(), newest_run = newest_run.0, epoch = epoch.0
         }),
+        Event::LateStartRefused {
+            job,
+            task,
+            run,
+            server,
+            left_ms,
+        } => spdlog::info!("late start refused", kv: {
+            job = job.as_str(), task = format_task_index(*task).as_str(), run = run.0,
+            server = server.as_str(), left_ms = *left_ms, epoch = epoch.0
+        }),
         Event::NoServer { job, first, need } => spdlog::warn!("waits for a server", kv: {
             job = job.as_str(), task = format_task_index(*first).as_str(), need = *need,
             epoch = epoch.0
--- a/lib/host/src/metrics.rs
+++ b/lib/host/src/metrics.rs
@@ -366,6 +366,7 @@
             Event::LossResolved { .. } => ("server lost", "withdrawn"),
             Event::GivenUp { .. } => ("given up", "crashes"),
             Event::EarlierRunDone { .. } => ("ended", "done by an earlier run"),
+            Event::LateStartRefused { .. } => ("late start", "refused"),
             Event::NoServer { need, .. } => ("no server", *need),
             Event::OutOfAttempts { .. } => ("given up", "attempts"),
             Event::AddressReused { .. } => ("server", "address reused"),
--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -72,7 +72,8 @@
             self.update_median_speed();
             self.crashes.expire(now.ms);
             self.give_up_waiting(now);
-            self.late_starts.retain(|_, until_ms| now.ms < *until_ms);
+            self.late_starts.expire(now.ms);
+            self.stop_late_starts(now);
             self.leave_evacuated_zones(now);
             self.update_reach(now);
             self.update_soundness(now);
@@ -567,15 +568,6 @@
             && !(has_losses && self.waits_after_losses(id, unit, now))
     }
 
-    /// Whether a restarted server may still start a task of the unit by an earlier order.
-    fn may_start_late(&self, id: &id::JobId, unit: PlacementUnit) -> bool {
-        !self.late_starts.is_empty()
-            && unit.members().any(|index| {
-                let job = id.clone();
-                self.late_starts.contains_key(&job::TaskName { job, index })
-            })
-    }
-
     /// Accounts whose open urgent jobs together need no more accelerators than are guaranteed to
     /// the account.
     pub(crate) fn guaranteed_accounts(&self) -> BTreeSet<id::ClientAccountName> {
@@ -615,6 +607,7 @@
             .restarts
             .with_failed_servers(id, unit, excluded, now.ms);
         let excluded = self.with_unsafe_servers(id, unit, excluded, now);
+        let excluded = self.with_others_than_late_server(id, unit, excluded);
         // Starting within the guaranteed time, `reclaim_ms`, takes precedence over the speed of a
         // gang once half of that time has passed.
         let waited_ms = now.ms.saturating_sub(job.accepted_ms);
--- a/lib/jobs/src/engine.rs
+++ b/lib/jobs/src/engine.rs
@@ -12,8 +12,8 @@
 use crate::progress::{JobState, Progress, TaskState};
 use crate::{
     advice, crash_evidence, crashes, disruption_budget, evacuation, fair_share, headroom, health,
-    interference, maintenance, open_job, pacing, placement, reachability, restarts, server,
-    server_life, settings, soundness, speeds, unmet, withheld,
+    interference, late_starts, maintenance, open_job, pacing, placement, reachability, restarts,
+    server, server_life, settings, soundness, speeds, unmet, withheld,
 };
 
 /// Delay until an order that got no usable reply is sent again, counted from when the missing reply
@@ -133,9 +133,7 @@
     pub(crate) next_reservation_ms: u64,
     /// Median speed of the servers as of the last scan.
     pub(crate) median_speed_ratio: Option<f64>,
-    /// Tasks that a restarted server may still start by an unanswered order, and until when. The
-    /// new incarnation doesn't know that the run has ended or was stopped.
-    pub(crate) late_starts: BTreeMap<job::TaskName, u64>,
+    pub(crate) late_starts: late_starts::LateStarts,
     /// See [`Engine::has_more_to_place`].
     pub(crate) has_more_to_place: bool,
     pub(crate) orders: Vec<Order>,
@@ -441,7 +439,8 @@
         let is_first = server.clock.is_none() || server.life.is_doubted();
         let has_unacknowledged =
             server.ends_seen > server.ends_acknowledged || server.has_unreadable_end;
-        let wait_ms = match is_first || has_unacknowledged || server.may_have_more_ends {
+        let awaits_list = has_unacknowledged || self.late_starts.awaits_list(id);
+        let wait_ms = match is_first || awaits_list || server.may_have_more_ends {
             true => 0,
             false => HOLD_WAIT_MS,
         };
@@ -528,6 +527,7 @@
         self.observe_interference(id, reply, now);
         self.process_ends(id, reply, now);
         self.reconcile_running(id, sent_ms, reply, now);
+        self.observe_late_starts(id, sent_ms, reply, now);
     }
 
     /// Tasks with a run that may exist on a server.
--- a/lib/jobs/src/event.rs
+++ b/lib/jobs/src/event.rs
@@ -266,6 +266,20 @@
         /// The newest run of the task; stopped if it is a later one.
         newest_run: id::Run,
     },
+    /// A server that has started anew refuses a start order of before, so that the task needn't wait
+    /// for the order any more.
+    LateStartRefused {
+        /// The job.
+        job: id::JobId,
+        /// The task.
+        task: job::TaskIndex,
+        /// The run that the order would have started.
+        run: id::Run,
+        /// The server.
+        server: id::BackendServerId,
+        /// How much longer a later life of the server could carry the order out.
+        left_ms: u64,
+    },
     /// A step waits since no registered server could run a task of it, even an empty one.
     NoServer {
         /// The job.
--- a/lib/jobs/src/lib.rs
+++ b/lib/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod hold_replies;
 pub mod interference;
 mod interference_tracking;
+mod late_starts;
 pub mod learned;
 pub mod live_run;
 pub mod maintenance;
--- a/lib/jobs/src/order_replies.rs
+++ b/lib/jobs/src/order_replies.rs
@@ -4,7 +4,7 @@
 use camphorbeam_model::{id, job};
 
 use crate::crash_evidence::{Evidence, Isolation};
-use crate::engine::{self, Engine, Now, Order, ORDER_RETRY_MS};
+use crate::engine::{self, Engine, Now, ORDER_RETRY_MS};
 use crate::event::Event;
 use crate::live_run::{LiveRun, RunPhase};
 use crate::open_job;
@@ -89,23 +89,10 @@
                 self.resend_stop(&job, index, now);
             }
         }
-        // Stop orders are also sent for unanswered starts of runs that the engine has since removed
-        // or is stopping.
-        let unanswered_starts = self
-            .servers
-            .get(id)
-            .map(|server| server.unanswered_starts.clone());
+        let server = self.servers.get(id);
+        let unanswered_starts = server.map(|server| server.unanswered_starts.clone());
         for (name, noticed_ms) in unanswered_starts.unwrap_or_default() {
-            let until_ms = noticed_ms + ORDER_DELAY_MAX_MS;
-            self.late_starts.insert(name.task.clone(), until_ms);
-            let is_active = self
-                .jobs
-                .get(&name.task.job)
-                .and_then(|job| job.runs.get(&name.task.index))
-                .is_some_and(|live| live.run == name.run && live.is_active());
-            if !is_active {
-                self.orders.push(Order::Stop(id.clone(), name));
-            }
+            self.expect_late_start(id, name, noticed_ms + ORDER_DELAY_MAX_MS, now);
         }
     }
 
@@ -300,6 +287,9 @@
     /// Processes the reply to a stop order, or the lack of a usable one.
     pub fn stop_reply(&mut self, name: &RunName, outcome: &StopOutcome, now: Now) {
         let (id, index) = (&name.task.job, name.task.index);
+        if *outcome == StopOutcome::Accepted {
+            self.late_start_stopped(name, now);
+        }
         let live = self
             .jobs
             .get_mut(id)
