jobs: look up the open occurrences of a step by binary search

Cause: each task with a record was compared with all ranges of open occurrences, for each step. Change: tasks with a record are ordered by step, and the ranges are searched. test_due_occurrences, test_job_semantics and test_late_starts pass.

--- a/lib/jobs/src/decide.rs
+++ b/lib/jobs/src/decide.rs
@@ -607,7 +607,7 @@
             .restarts
             .with_failed_servers(id, unit, excluded, now.ms);
         let excluded = self.with_unsafe_servers(id, unit, excluded, now);
-        let excluded = self.with_others_than_late_server(id, unit, excluded);
+        let excluded = self.with_all_but_late_server(id, unit, excluded);
         // Starting within the guaranteed time, `reclaim_ms`, takes precedence over the speed of a
         // gang once half of that time has passed.
         let waited_ms = now.ms.saturating_sub(job.accepted_ms);
--- a/lib/jobs/src/late_starts.rs
+++ b/lib/jobs/src/late_starts.rs
@@ -204,7 +204,7 @@
     /// carry the start out, and could do so beside a run elsewhere. A preference, which an overdue
     /// start drops, and which goes before that against a server that the task may have crashed. Not
     /// for gangs, which need several servers.
-    pub(crate) fn with_others_than_late_server(
+    pub(crate) fn with_all_but_late_server(
         &self,
         id: &id::JobId,
         unit: PlacementUnit,
--- a/lib/jobs/src/ready_units.rs
+++ b/lib/jobs/src/ready_units.rs
@@ -26,7 +26,11 @@
 /// Number of fresh units of all steps of a job that a decision looks at.
 const FRESH_UNITS_OF_JOB_MAX: usize = 1_024;
 
-/// The units of a job that may start at some time. A task is fresh if it has no record and no run.
+/// Number of tasks of a job that have a record and haven't finished. More could make its progress
+/// larger than a row of the store. Binds only jobs with several occurrences.
+pub const OPEN_TASKS_MAX: u32 = job::TASKS_MAX;
+
+/// What may start of a job at some time. A task is fresh if it has no record and no run.
 #[derive(Clone, Debug)]
 pub(crate) struct ReadyUnits {
     /// All units that aren't fresh, and the first fresh ones of each step, in ascending order.
@@ -43,11 +47,7 @@
     pub fresh_tasks_left: u32,
 }
 
-/// Number of tasks of a job that have a record and haven't finished. More could make its progress
-/// larger than a row of the store. Binds only jobs with several occurrences.
-pub const OPEN_TASKS_MAX: u32 = job::TASKS_MAX;
-
-/// Ranks of the tasks of one occurrence of a step that aren't fresh, in ascending order.
+/// Ranks of the tasks that aren't fresh, by step and occurrence.
 type BegunRanks = BTreeMap<(u32, u32), BTreeSet<u32>>;
 
 impl ReadyUnits {
@@ -106,9 +106,10 @@
         let mut waiting_tasks = open_count.saturating_mul(u64::from(spec.task_count));
         let mut window = FreshWindow::new(job, spec, self.fresh_tasks_left);
         let mut begun_occurrences = BTreeSet::new();
-        for (&(occurrence, _), ranks) in begun.iter().filter(|((occurrence, of_step), _)| {
-            *of_step == step && ranges.iter().any(|range| range.contains(occurrence))
-        }) {
+        let of_step = begun.range((step, 0)..=(step, u32::MAX));
+        for (&(_, occurrence), ranks) in
+            of_step.filter(|((_, occurrence), _)| is_within(&ranges, *occurrence))
+        {
             begun_occurrences.insert(occurrence);
             let first = job::TaskIndex {
                 occurrence,
@@ -273,12 +274,20 @@
 fn begun_ranks(job: &OpenJob) -> BegunRanks {
     let mut begun = BegunRanks::new();
     for index in job.progress.tasks.keys().chain(job.runs.keys()) {
-        let ranks = begun.entry((index.occurrence, index.step)).or_default();
+        let ranks = begun.entry((index.step, index.occurrence)).or_default();
         ranks.insert(index.rank);
     }
     begun
 }
 
+/// Whether one of `ranges`, which are in ascending order, contains `occurrence`.
+fn is_within(ranges: &[RangeInclusive<u32>], occurrence: u32) -> bool {
+    let next = ranges.partition_point(|range| *range.end() < occurrence);
+    ranges
+        .get(next)
+        .is_some_and(|range| range.contains(&occurrence))
+}
+
 /// The occurrences of `due` in which a step hasn't finished and all steps that it depends on have,
 /// in ascending order.
 fn open_occurrences(
