--- a/lib/jobs/tests/test_late_starts.rs
+++ b/lib/jobs/tests/test_late_starts.rs
@@ -6,8 +6,8 @@
 use camphorbeam_model::{id, job};
 use rstest::rstest;
 
-/// Time that a calm service may leave a long-running task without a run: 3 s of the platform, less
-/// nothing, from when the server is back and evidence can be had.
+/// Time for which the platform allows a long-running task to have no run on a calm service. Counted
+/// from when the server is back, since there is no evidence before.
 const RESTART_MAX_MS: u64 = 3_000;
 
 /// The longest time after which an order without a reply can still be carried out.
@@ -20,8 +20,8 @@
     }
 }
 
-/// A job whose starts on `s0-0` get no reply and aren't carried out, and which then has no run there:
-/// the server is down for `down_ms` from then on.
+/// A job that is submitted as `s0-0` goes down for `down_ms`, so that starts there get no reply.
+/// Returns the simulation when the server is back.
 fn sim_with_lost_starts(steps: Vec<job::StepSpec>, down_ms: u64) -> (Simulation, id::JobId) {
     let mut sim = Simulation::new(1, 4, 0);
     sim.hold_interval_ms = 500;
